--- a/dogwooddrum/coordination/consensus/Raft.cpp
+++ b/dogwooddrum/coordination/consensus/Raft.cpp
@@ -295,6 +295,17 @@
   return HasCommittedOwnTerm(*mImpl) && AcceptsProposals(*mImpl);
 }
 
+std::optional<base::Time>
+Raft::LastContact(base::MemberId aMember) const
+{
+  const auto it = mImpl->mLeader.mProgress.find(aMember);
+  if (aMember == mImpl->mOptions.mSelf ||
+      it == mImpl->mLeader.mProgress.end()) {
+    return std::nullopt;
+  }
+  return it->second.mLastContact;
+}
+
 base::LogIndex
 Raft::MatchIndex(base::MemberId aMember) const
 {
--- a/dogwooddrum/coordination/consensus/Raft.h
+++ b/dogwooddrum/coordination/consensus/Raft.h
@@ -347,6 +347,9 @@
    * and takes proposals. Once false, it stays false for the rest of the term.
    */
   bool LeaderReady() const;
+  /** Returns when the leader last heard from a member; leader only, and an
+   * empty optional for itself and for unknown members. */
+  std::optional<base::Time> LastContact(base::MemberId aMember) const;
   /** Returns how far a member's log is known to match; leader only. */
   base::LogIndex MatchIndex(base::MemberId aMember) const;
 
--- a/dogwooddrum/coordination/control/Coordinator.cpp
+++ b/dogwooddrum/coordination/control/Coordinator.cpp
@@ -35,9 +35,39 @@
   if (const auto* part = std::get_if<jobs::StoreAnswerPart>(&aCommand)) {
     return kCommandBytes + part->mBytes.size();
   }
+  if (const auto* change = std::get_if<workloads::Change>(&aCommand)) {
+    return protocol::Encode(*change).size();
+  }
   return kCommandBytes;
 }
 
+workloads::Session
+ToSession(SessionId aSession)
+{
+  return workloads::Session(aSession.Value());
+}
+
+/** Moves the scheduler's work into the core's output. */
+void
+TakeScheduled(Core& aCore, workloads::Scheduler& aScheduler)
+{
+  auto output = aScheduler.TakeOutput(aCore.mNow);
+  for (auto& change : output.mChanges) {
+    Propose(aCore, std::move(change));
+  }
+  for (auto& message : output.mMessages) {
+    const SessionId session(message.mSession.Value());
+    std::visit([&](auto& aBody) { Send(aCore, session, std::move(aBody)); },
+               message.mBody);
+  }
+  for (const auto session : output.mRedirects) {
+    Send(aCore, SessionId(session.Value()), Redirect(aCore));
+  }
+  for (auto& note : output.mNotes) {
+    aCore.mOutput.mNotes.push_back(std::move(note));
+  }
+}
+
 /** Packs the gathered commands into as few log entries as fit. */
 void
 FlushCommands(Core& aCore)
@@ -79,6 +109,16 @@
 struct ConfirmedHandler
 {
   Core& mCore;
+  workloads::Scheduler& mScheduler;
+  void operator()(const ConfirmedWorkloadRead& aQuery) const
+  {
+    mScheduler.OnRequest(
+      ToSession(aQuery.mSession), aQuery.mRequest, mCore.mNow);
+  }
+  void operator()(const ConfirmedReport& aQuery) const
+  {
+    mScheduler.OnReport(ToSession(aQuery.mSession), aQuery.mReport, mCore.mNow);
+  }
   void operator()(const ConfirmedQuery& aQuery) const
   {
     AnswerQuery(mCore, aQuery);
@@ -97,7 +137,14 @@
 
 struct Coordinator::Impl : public Core
 {
-  using Core::Core;
+  explicit Impl(const CoordinatorOptions& aOptions)
+    : Core(aOptions)
+    , mScheduler(aOptions.mWorkloads, mState.Workloads())
+  {
+  }
+
+  /** Reads the replicated state in Core, whose address does not change. */
+  workloads::Scheduler mScheduler;
 };
 
 Coordinator::Coordinator(const CoordinatorOptions& aOptions)
@@ -143,6 +190,11 @@
     for (const jobs::Effect& effect : effects) {
       OnEffect(*mImpl, effect);
     }
+    for (const jobs::Command& command : batch->mCommands) {
+      if (const auto* change = std::get_if<workloads::Change>(&command)) {
+        mImpl->mScheduler.OnApplied(*change, aNow);
+      }
+    }
   }
 }
 
@@ -151,6 +203,7 @@
 {
   mImpl->mNow = aNow;
   StartLeading(*mImpl, aTerm);
+  mImpl->mScheduler.BecomeLeader(aTerm, aNow);
 }
 
 void
@@ -159,6 +212,7 @@
   mImpl->mNow = aNow;
   if (mImpl->mLeads) {
     StopLeading(*mImpl);
+    mImpl->mScheduler.StepDown();
   }
 }
 
@@ -176,6 +230,11 @@
     mImpl->mCommittedMembership = aMembership;
   }
   mImpl->mMembership = aMembership;
+  std::vector<std::string> addresses;
+  for (const auto& member : aMembership.mMembers) {
+    addresses.push_back(member.mAddress);
+  }
+  mImpl->mScheduler.SetMembers(std::move(addresses));
 }
 
 void
@@ -189,7 +248,7 @@
   const auto queries = std::move(it->second);
   mImpl->mReads.erase(it);
   for (const Confirmed& query : queries) {
-    std::visit(ConfirmedHandler{ *mImpl }, query);
+    std::visit(ConfirmedHandler{ *mImpl, mImpl->mScheduler }, query);
   }
 }
 
@@ -268,12 +327,48 @@
   }
 }
 
+void
+Coordinator::OnWorkloadRequest(SessionId aSession,
+                               const protocol::WorkloadRequest& aRequest,
+                               base::Time aNow)
+{
+  mImpl->mNow = aNow;
+  if (!mImpl->mLeads) {
+    Send(*mImpl, aSession, Redirect(*mImpl));
+  } else if (workloads::Scheduler::NeedsConfirmedRead(aRequest)) {
+    mImpl->mForNextRead.emplace_back(
+      ConfirmedWorkloadRead{ aSession, aRequest });
+  } else {
+    mImpl->mScheduler.OnRequest(ToSession(aSession), aRequest, aNow);
+  }
+}
+
+void
+Coordinator::OnWorkerReport(SessionId aSession,
+                            const protocol::WorkerReport& aReport,
+                            base::Time aNow)
+{
+  mImpl->mNow = aNow;
+  if (!mImpl->mLeads) {
+    Send(*mImpl, aSession, Redirect(*mImpl));
+    return;
+  }
+  mImpl->mForNextRead.emplace_back(ConfirmedReport{ aSession, aReport });
+}
+
 void
 Coordinator::OnSessionClosed(SessionId aSession, base::Time aNow)
 {
   mImpl->mNow = aNow;
   CloseClientSession(*mImpl, aSession);
   CloseAgentSession(*mImpl, aSession);
+  mImpl->mScheduler.OnSessionClosed(ToSession(aSession));
+}
+
+void
+Coordinator::SetUnixOffset(std::int64_t aOffsetMs)
+{
+  mImpl->mScheduler.SetUnixOffset(aOffsetMs);
 }
 
 void
@@ -282,12 +377,14 @@
   mImpl->mNow = aNow;
   if (mImpl->mLeads) {
     RunTimers(*mImpl);
+    mImpl->mScheduler.Tick(aNow);
   }
 }
 
 Output
 Coordinator::TakeOutput()
 {
+  TakeScheduled(*mImpl, mImpl->mScheduler);
   if (mImpl->mLeads) {
     ProposeCancels(*mImpl);
     Decide(*mImpl);
@@ -303,10 +400,22 @@
   return mImpl->mState.Configuration();
 }
 
+const workloads::State&
+Coordinator::Workloads() const
+{
+  return mImpl->mState.Workloads();
+}
+
+const std::string&
+Coordinator::LeaderAddress() const
+{
+  return mImpl->mLeaderAddress;
+}
+
 std::uint64_t
 Coordinator::ActiveJobs() const
 {
-  return mImpl->mState.ActiveJobs();
+  return mImpl->mState.ActiveJobs() + mImpl->mState.Workloads().Active().size();
 }
 
 placement::FragmentationReport
--- a/dogwooddrum/coordination/control/Coordinator.h
+++ b/dogwooddrum/coordination/control/Coordinator.h
@@ -10,7 +10,9 @@
 #include "dogwooddrum/base/Time.h"
 #include "dogwooddrum/coordination/consensus/Raft.h"
 #include "dogwooddrum/coordination/placement/Placer.h"
+#include "dogwooddrum/coordination/workloads/Scheduler.h"
 #include "dogwooddrum/protocol/Messages.h"
+#include "dogwooddrum/protocol/WorkloadMessages.h"
 
 #include <cstdint>
 #include <memory>
@@ -41,6 +43,7 @@
   std::uint32_t mMaxQueuedJobs = 50000;
   std::uint64_t mMaxStoredAnswerBytes = 512ULL << 20;
   placement::PlacerOptions mPlacer;
+  workloads::SchedulerOptions mWorkloads;
 };
 
 /** A message to one session. */
@@ -52,7 +55,9 @@
                protocol::HeartbeatReply,
                protocol::TaskCommand,
                protocol::AnswerAck,
-               protocol::NotLeader>
+               protocol::NotLeader,
+               protocol::WorkloadReply,
+               protocol::WorkerOrders>
     mMessage;
 };
 
@@ -89,6 +94,7 @@
   std::vector<consensus::Membership> mMemberships; ///< ProposeMembership
   std::vector<Outgoing> mMessages;
   std::vector<Notice> mNotices;
+  std::vector<workloads::Note> mNotes;
 };
 
 /**
@@ -144,8 +150,16 @@
   void OnAnswerChunk(SessionId aSession,
                      const protocol::AnswerChunk& aChunk,
                      base::Time aNow);
+  void OnWorkloadRequest(SessionId aSession,
+                         const protocol::WorkloadRequest& aRequest,
+                         base::Time aNow);
+  void OnWorkerReport(SessionId aSession,
+                      const protocol::WorkerReport& aReport,
+                      base::Time aNow);
   void OnSessionClosed(SessionId aSession, base::Time aNow);
 
+  /** Sets Unix time minus the time that is passed in, in ms. */
+  void SetUnixOffset(std::int64_t aOffsetMs);
   /** Advances timers. Call at least every 20 ms. */
   void Tick(base::Time aNow);
 
@@ -154,6 +168,10 @@
 
   /** Returns the applied configuration. */
   const protocol::Configuration& Configuration() const;
+  /** Returns the replicated workloads and the catalog. */
+  const workloads::State& Workloads() const;
+  /** Returns the leader's link address; empty if unknown. */
+  const std::string& LeaderAddress() const;
   /** Returns queued, starting and running jobs, for metrics. */
   std::uint64_t ActiveJobs() const;
   placement::FragmentationReport Fragmentation() const;
--- a/dogwooddrum/coordination/control/Core.h
+++ b/dogwooddrum/coordination/control/Core.h
@@ -119,8 +119,21 @@
   std::uint64_t mSequence = 0;
   base::ConfigurationVersion mHave;
 };
-using Confirmed =
-  std::variant<ConfirmedQuery, ConfirmedPoll, ConfirmedHeartbeat>;
+struct ConfirmedWorkloadRead
+{
+  SessionId mSession;
+  protocol::WorkloadRequest mRequest;
+};
+struct ConfirmedReport
+{
+  SessionId mSession;
+  protocol::WorkerReport mReport;
+};
+using Confirmed = std::variant<ConfirmedQuery,
+                               ConfirmedPoll,
+                               ConfirmedHeartbeat,
+                               ConfirmedWorkloadRead,
+                               ConfirmedReport>;
 
 /** An answer on its way from an agent into the replicated state. */
 struct Assembly
--- a/dogwooddrum/coordination/control/Effects.cpp
+++ b/dogwooddrum/coordination/control/Effects.cpp
@@ -264,6 +264,10 @@
       Reply(aCore, client->mCaller, Redirect(aCore));
     } else if (const auto* poll = std::get_if<ConfirmedPoll>(&query)) {
       Send(aCore, poll->mSession, Redirect(aCore));
+    } else if (const auto* read = std::get_if<ConfirmedWorkloadRead>(&query)) {
+      Send(aCore, read->mSession, Redirect(aCore));
+    } else if (const auto* report = std::get_if<ConfirmedReport>(&query)) {
+      Send(aCore, report->mSession, Redirect(aCore));
     } else {
       const auto& heartbeat = std::get<ConfirmedHeartbeat>(query);
       Send(aCore, heartbeat.mSession, Redirect(aCore));
--- a/dogwooddrum/coordination/jobs/Apply.cpp
+++ b/dogwooddrum/coordination/jobs/Apply.cpp
@@ -350,6 +350,11 @@
     }
   }
 
+  void operator()(const workloads::Change& aChange)
+  {
+    Image().mWorkloads.Apply(aChange);
+  }
+
   void operator()(const ChangeConfiguration& aCommand)
   {
     const protocol::ChangeRequest& request = aCommand.mRequest;
--- a/dogwooddrum/coordination/jobs/Commands.h
+++ b/dogwooddrum/coordination/jobs/Commands.h
@@ -6,6 +6,7 @@
 
 #include "dogwooddrum/base/Ids.h"
 #include "dogwooddrum/base/Reason.h"
+#include "dogwooddrum/coordination/workloads/State.h"
 #include "dogwooddrum/protocol/Messages.h"
 
 #include <cstdint>
@@ -208,7 +209,8 @@
                              CancelJob,
                              AcknowledgeJob,
                              Expire,
-                             ChangeConfiguration>;
+                             ChangeConfiguration,
+                             workloads::Change>;
 
 /** Payload of one log entry. */
 struct Batch
--- a/dogwooddrum/coordination/jobs/JobState.h
+++ b/dogwooddrum/coordination/jobs/JobState.h
@@ -131,6 +131,7 @@
   base::ChangeId mLastChange; ///< made the current version
   std::map<base::ChangeId, protocol::ChangeOutcome> mOutcomes;
   std::deque<base::ChangeId> mOutcomeOrder; ///< oldest first
+  workloads::State mWorkloads;
   template<class Archive>
   void serialize(Archive& aArchive)
   {
@@ -141,7 +142,8 @@
              mConfiguration,
              mLastChange,
              mOutcomes,
-             mOutcomeOrder);
+             mOutcomeOrder,
+             mWorkloads);
   }
 };
 
@@ -205,6 +207,8 @@
   /** Returns the remembered outcome of a change, or null. */
   const protocol::ChangeOutcome* FindOutcome(
     const base::ChangeId& aChange) const;
+  /** Returns the workloads; the reference is valid as long as this object. */
+  const workloads::State& Workloads() const { return mImage.mWorkloads; }
   std::uint64_t ClockMs() const { return mImage.mClockMs; }
   base::JobId LastJob() const { return mImage.mLastJob; }
   /** Returns the bytes of all stored answers and answer parts. */
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -0,0 +1,465 @@
+#include "dogwooddrum/coordination/workloads/Leading.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dogwooddrum::coordination::workloads {
+
+namespace {
+
+/** Placement also depends on time: patience, suspicion, occurrences. */
+constexpr base::Duration kDecisionInterval = base::Milliseconds(250);
+/** Cores that one accelerator counts for when work is thrown away. */
+constexpr double kCoresPerAccelerator = 8;
+
+const protocol::Queue*
+QueueOf(const Leading& aLeading, const WorkloadRecord& aWorkload)
+{
+  return FindQueue(aLeading.mState->CurrentCatalog(), aWorkload.mQueueName);
+}
+
+std::uint32_t
+PriorityOf(const Leading& aLeading, const WorkloadRecord& aWorkload)
+{
+  const auto* queue = QueueOf(aLeading, aWorkload);
+  return queue == nullptr ? 0 : queue->mPriority;
+}
+
+/** Returns the longest chain of estimates through the steps, in ms. */
+std::int64_t
+ChainMs(const protocol::WorkloadSpec& aSpec)
+{
+  std::vector<std::int64_t> ends;
+  std::int64_t longest = 0;
+  for (const WorkloadStep& step : aSpec.mSteps) {
+    std::int64_t begin = 0;
+    for (const std::uint32_t earlier : step.mDependsOn) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    ends.push_back(begin + static_cast<std::int64_t>(step.mEstimateMs));
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+/** Most accelerators that a workload holds at a time. */
+std::uint64_t
+AcceleratorNeed(const protocol::WorkloadSpec& aSpec)
+{
+  std::uint64_t need = 0;
+  for (const WorkloadStep& step : aSpec.mSteps) {
+    need = std::max(need, step.mCount * step.mEach.mAccelerators);
+  }
+  return need;
+}
+
+/** Returns the priority-0 workloads that fit into their accounts'
+ * guarantees, the oldest first. */
+std::set<WorkloadId>
+FindGuaranteed(const Leading& aLeading)
+{
+  std::vector<std::pair<std::int64_t, WorkloadId>> urgent;
+  for (const WorkloadId& id : aLeading.mState->Active()) {
+    const auto* workload = aLeading.mState->Find(id);
+    if (workload != nullptr && !HasEnded(*workload) &&
+        PriorityOf(aLeading, *workload) == 0) {
+      urgent.emplace_back(workload->mAcceptedMs, id);
+    }
+  }
+  std::sort(urgent.begin(), urgent.end());
+  std::map<base::AccountId, std::uint64_t> used;
+  std::set<WorkloadId> guaranteed;
+  for (const auto& [accepted, id] : urgent) {
+    const auto* workload = aLeading.mState->Find(id);
+    const auto* account =
+      FindCatalogAccount(aLeading.mState->CurrentCatalog(), workload->mAccount);
+    const std::uint64_t need = AcceleratorNeed(workload->mSpec);
+    auto& sum = used[workload->mAccount];
+    if (account != nullptr && sum + need <= account->mGuaranteedAccelerators) {
+      sum += need;
+      guaranteed.insert(id);
+    }
+  }
+  return guaranteed;
+}
+
+double
+LossOf(const Leading& aLeading, const OpenRun& aRun)
+{
+  const auto since = std::max(aRun.mStartedAt, aRun.mSavedAt);
+  const auto seconds =
+    static_cast<double>(base::ToMilliseconds(aLeading.mNow - since)) / 1000;
+  return seconds *
+         (static_cast<double>(aRun.mRoom.mMilliCores) / 1000 +
+          kCoresPerAccelerator * static_cast<double>(aRun.mRoom.mAccelerators));
+}
+
+/** Returns all open runs of the gang of aRun, or aRun alone. */
+std::vector<RunId>
+GangOf(const Leading& aLeading, const RunId& aRun)
+{
+  const auto* workload = aLeading.mState->Find(aRun.mTask.mWorkload);
+  if (workload == nullptr || !StepOf(*workload, aRun.mTask).mGang) {
+    return { aRun };
+  }
+  std::vector<RunId> gang;
+  TaskId first = aRun.mTask;
+  first.mIndex = 0;
+  for (auto it = aLeading.mRuns.lower_bound(RunId{ first, RunNumber(0) });
+       it != aLeading.mRuns.end() &&
+       it->first.mTask.mWorkload == aRun.mTask.mWorkload &&
+       it->first.mTask.mOccurrence == aRun.mTask.mOccurrence &&
+       it->first.mTask.mStep == aRun.mTask.mStep;
+       ++it) {
+    gang.push_back(it->first);
+  }
+  return gang;
+}
+
+std::vector<WorkerView>
+MakeViews(const Leading& aLeading)
+{
+  std::vector<WorkerView> views;
+  std::map<TargetLife, std::size_t> index;
+  for (const auto& [life, worker] : aLeading.mWorkers) {
+    WorkerView view;
+    view.mLife = life;
+    view.mPool = worker.mFacts.mPool;
+    view.mRack = worker.mFacts.mRack;
+    view.mLabels.insert(worker.mFacts.mLabels.begin(),
+                        worker.mFacts.mLabels.end());
+    const auto& capacity = worker.mFacts.mCapacity;
+    view.mCapacity = { static_cast<std::int64_t>(capacity.mMilliCores),
+                       static_cast<std::int64_t>(capacity.mMemoryMb),
+                       static_cast<std::int64_t>(capacity.mAccelerators) };
+    view.mFree = view.mCapacity;
+    view.mUsable =
+      worker.mUp && !worker.mFacts.mLeaving && worker.mSession != Session();
+    view.mSuspect =
+      worker.mFailuresInARow >= aLeading.mOptions.mSuspectAfter &&
+      aLeading.mNow - worker.mLastFailure < aLeading.mOptions.mSuspectTime;
+    index.emplace(life, views.size());
+    views.push_back(std::move(view));
+  }
+  for (const auto& [run, open] : aLeading.mRuns) {
+    const auto it = index.find(open.mTarget);
+    if (it == index.end()) {
+      continue;
+    }
+    WorkerView& view = views[it->second];
+    view.mFree = view.mFree - open.mRoom;
+    if (open.mStopping || open.mEnding) {
+      view.mReleasing = view.mReleasing + open.mRoom;
+    } else if (open.mCommitted && open.mPriority > 0) {
+      Victim victim;
+      victim.mRun = run;
+      victim.mGang = GangOf(aLeading, run);
+      victim.mPriority = open.mPriority;
+      victim.mRoom = open.mRoom;
+      victim.mLoss = LossOf(aLeading, open);
+      view.mVictims.push_back(std::move(victim));
+    }
+  }
+  return views;
+}
+
+/** Gathers the units of one workload that may start now. */
+class UnitCollector
+{
+public:
+  UnitCollector(Leading& aLeading,
+                const std::vector<WorkerView>& aViews,
+                const std::set<WorkloadId>& aGuaranteed,
+                std::vector<Unit>& aUnits)
+    : mLeading(aLeading)
+    , mViews(aViews)
+    , mGuaranteed(aGuaranteed)
+    , mUnits(aUnits)
+  {
+    for (const auto& [run, open] : aLeading.mRuns) {
+      mOpen.insert(run.mTask);
+    }
+  }
+
+  void Collect(const WorkloadId& aId)
+  {
+    const auto* workload = mLeading.mState->Find(aId);
+    if (workload == nullptr || HasEnded(*workload)) {
+      return;
+    }
+    const auto* queue = QueueOf(mLeading, *workload);
+    if (queue == nullptr) {
+      return; // its queue was removed: nothing names a pool for it
+    }
+    for (const OccurrenceRecord& occurrence : workload->mOccurrences) {
+      for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
+        if (DependenciesDone(*workload, occurrence, s)) {
+          CollectStep(aId, *workload, *queue, occurrence, s);
+        }
+      }
+    }
+  }
+
+private:
+  void CollectStep(const WorkloadId& aId,
+                   const WorkloadRecord& aWorkload,
+                   const protocol::Queue& aQueue,
+                   const OccurrenceRecord& aOccurrence,
+                   std::uint32_t aStep)
+  {
+    const WorkloadStep& spec = aWorkload.mSpec.mSteps[aStep];
+    const auto& tasks = aOccurrence.mSteps[aStep].mTasks;
+    Unit base;
+    base.mStep = &spec;
+    base.mPool = aQueue.mPool;
+    base.mPriority = aQueue.mPriority;
+    base.mGuaranteed = mGuaranteed.count(aId) > 0;
+    base.mUrgencyMs = Urgency(aWorkload, aQueue, aOccurrence);
+    std::vector<TaskId> waiting;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+      const TaskId task{ aId, aOccurrence.mNumber, aStep, i };
+      if (tasks[i].mPhase == TaskPhase::Waiting && mOpen.count(task) == 0) {
+        waiting.push_back(task);
+      }
+    }
+    if (waiting.empty() || (spec.mGang && waiting.size() < tasks.size())) {
+      return;
+    }
+    CountStepTasks(aId, aOccurrence.mNumber, aStep, base);
+    if (spec.mGang) {
+      base.mTasks = std::move(waiting);
+      Add(std::move(base));
+      return;
+    }
+    for (const TaskId& task : waiting) {
+      Unit unit = base;
+      unit.mTasks = { task };
+      Add(std::move(unit));
+    }
+  }
+
+  /** Notes where tasks of the step run already. */
+  void CountStepTasks(const WorkloadId& aId,
+                      std::uint32_t aOccurrence,
+                      std::uint32_t aStep,
+                      Unit& aUnit) const
+  {
+    aUnit.mStepTasks.assign(mViews.size(), 0);
+    const TaskId first{ aId, aOccurrence, aStep, 0 };
+    for (auto it = mLeading.mRuns.lower_bound(RunId{ first, RunNumber(0) });
+         it != mLeading.mRuns.end() && it->first.mTask.mWorkload == aId &&
+         it->first.mTask.mOccurrence == aOccurrence &&
+         it->first.mTask.mStep == aStep;
+         ++it) {
+      for (std::size_t i = 0; i < mViews.size(); ++i) {
+        if (mViews[i].mLife == it->second.mTarget) {
+          ++aUnit.mStepTasks[i];
+          aUnit.mStepRacks.insert(mViews[i].mRack);
+        }
+      }
+    }
+  }
+
+  void Add(Unit aUnit)
+  {
+    const auto [it, isNew] =
+      mLeading.mReadySince.try_emplace(aUnit.mTasks.front(), mLeading.mNow);
+    aUnit.mWaitedMs = base::ToMilliseconds(mLeading.mNow - it->second);
+    for (const TaskId& task : aUnit.mTasks) {
+      const auto failed = mLeading.mFailedOn.find(task);
+      if (failed != mLeading.mFailedOn.end()) {
+        aUnit.mAvoid.insert(failed->second.begin(), failed->second.end());
+      }
+    }
+    mUnits.push_back(std::move(aUnit));
+  }
+
+  /** Returns the Unix time by which the workload should be complete. */
+  static std::int64_t Urgency(const WorkloadRecord& aWorkload,
+                              const protocol::Queue& aQueue,
+                              const OccurrenceRecord& aOccurrence)
+  {
+    const auto& spec = aWorkload.mSpec;
+    const std::int64_t begin =
+      spec.mRepeatCount == 0
+        ? aWorkload.mAcceptedMs
+        : spec.mFirstMs + spec.mIntervalMs * aOccurrence.mNumber;
+    return begin + static_cast<std::int64_t>(aQueue.mTargetRunTimeMs) +
+           ChainMs(spec) * aQueue.mSlackPermille / 1000;
+  }
+
+  Leading& mLeading;
+  const std::vector<WorkerView>& mViews;
+  const std::set<WorkloadId>& mGuaranteed;
+  std::vector<Unit>& mUnits;
+  std::set<TaskId> mOpen;
+};
+
+void
+BeginOccurrences(Leading& aLeading)
+{
+  for (const WorkloadId& id : aLeading.mState->Active()) {
+    const auto* workload = aLeading.mState->Find(id);
+    if (workload == nullptr || HasEnded(*workload) ||
+        workload->mNextOccurrence >= workload->mSpec.mRepeatCount ||
+        aLeading.mOccurrenceProposed.count(id) > 0) {
+      continue;
+    }
+    const auto& spec = workload->mSpec;
+    const std::int64_t due =
+      spec.mFirstMs + spec.mIntervalMs * workload->mNextOccurrence;
+    if (UnixMs(aLeading) >= due) {
+      aLeading.mOccurrenceProposed.insert(id);
+      Propose(aLeading, BeginOccurrence{ id, workload->mNextOccurrence });
+    } else {
+      aLeading.mNextDecision =
+        std::min(aLeading.mNextDecision,
+                 aLeading.mNow + base::Milliseconds(due - UnixMs(aLeading)));
+    }
+  }
+}
+
+void
+Start(Leading& aLeading,
+      const Unit& aUnit,
+      const Assignment& aAssignment,
+      const std::vector<WorkerView>& aViews)
+{
+  StartRuns change;
+  for (std::size_t i = 0; i < aUnit.mTasks.size(); ++i) {
+    const TaskId& task = aUnit.mTasks[i];
+    const TaskRecord* record = aLeading.mState->Find(task);
+    const RunId run{ task, RunNumber(record->mRun.Value() + 1) };
+    OpenRun open;
+    open.mTarget = aViews[aAssignment[i]].mLife;
+    open.mRoom = RoomFor(*aUnit.mStep);
+    open.mPriority = aUnit.mPriority;
+    open.mStartedAt = aLeading.mNow;
+    open.mCheckpoint = record->mCheckpoint;
+    open.mGuaranteed = aUnit.mGuaranteed;
+    Tell(aLeading,
+         Note::Kind::RunStarted,
+         { { "task", ToString(task) },
+           { "run", std::to_string(run.mRun.Value()) },
+           { "target", open.mTarget.mInstance },
+           { "waited_ms", std::to_string(aUnit.mWaitedMs) },
+           { "gang", std::to_string(aUnit.mTasks.size()) } });
+    change.mStarts.push_back({ run, open.mTarget });
+    aLeading.mRuns.emplace(run, std::move(open));
+  }
+  aLeading.mReadySince.erase(aUnit.mTasks.front());
+  Propose(aLeading, std::move(change));
+}
+
+/** Where this decision has placed tasks of each step, which the units
+ * gathered before do not show. */
+class StepCounts
+{
+public:
+  void AddTo(Unit& aUnit) const
+  {
+    const auto it = mPlaced.find(KeyOf(aUnit));
+    if (it == mPlaced.end()) {
+      return;
+    }
+    for (const auto& [worker, rack] : it->second) {
+      ++aUnit.mStepTasks[worker];
+      aUnit.mStepRacks.insert(rack);
+    }
+  }
+
+  void Count(const Unit& aUnit,
+             const Assignment& aAssignment,
+             const std::vector<WorkerView>& aViews)
+  {
+    auto& places = mPlaced[KeyOf(aUnit)];
+    for (const std::size_t worker : aAssignment) {
+      places.emplace_back(worker, aViews[worker].mRack);
+    }
+  }
+
+private:
+  using Key = std::pair<const WorkloadStep*, std::uint32_t>;
+  static Key KeyOf(const Unit& aUnit)
+  {
+    return { aUnit.mStep, aUnit.mTasks.front().mOccurrence };
+  }
+  std::map<Key, std::vector<std::pair<std::size_t, base::RackId>>> mPlaced;
+};
+
+/** Lowest priority number whose work the unit may not stop. */
+std::uint32_t
+PreemptsBelow(const Unit& aUnit)
+{
+  return aUnit.mPriority;
+}
+
+} // namespace
+
+void
+AddOpenRun(Leading& aLeading, const RunId& aRun, const TaskRecord& aTask)
+{
+  const auto [it, isNew] = aLeading.mRuns.try_emplace(aRun);
+  OpenRun& open = it->second;
+  open.mCommitted = true;
+  if (isNew) {
+    const auto* workload = aLeading.mState->Find(aRun.mTask.mWorkload);
+    open.mTarget = aTask.mTarget;
+    open.mRoom = RoomFor(StepOf(*workload, aRun.mTask));
+    open.mPriority = PriorityOf(aLeading, *workload);
+    open.mStartedAt = aLeading.mNow;
+    open.mCheckpoint = aTask.mCheckpoint;
+  }
+  const auto worker = aLeading.mWorkers.find(open.mTarget);
+  if (worker != aLeading.mWorkers.end()) {
+    worker->second.mDirty = true;
+  }
+}
+
+void
+Decide(Leading& aLeading)
+{
+  aLeading.mDecide = false;
+  aLeading.mNextDecision = aLeading.mNow + kDecisionInterval;
+  BeginOccurrences(aLeading);
+  auto views = MakeViews(aLeading);
+  const auto guaranteed = FindGuaranteed(aLeading);
+  std::vector<Unit> units;
+  UnitCollector collector(aLeading, views, guaranteed, units);
+  for (const WorkloadId& id : aLeading.mState->Active()) {
+    collector.Collect(id);
+  }
+  std::stable_sort(
+    units.begin(), units.end(), [](const Unit& aLeft, const Unit& aRight) {
+      return std::make_tuple(
+               !aLeft.mGuaranteed, aLeft.mPriority, aLeft.mUrgencyMs) <
+             std::make_tuple(
+               !aRight.mGuaranteed, aRight.mPriority, aRight.mUrgencyMs);
+    });
+  const WorkloadStep* full = nullptr; // no room for another task of this step
+  StepCounts placed;
+  for (Unit& unit : units) {
+    if (unit.mStep == full) {
+      continue;
+    }
+    placed.AddTo(unit);
+    if (const auto assignment =
+          PlaceInFreeRoom(unit, views, aLeading.mOptions.mPlacement)) {
+      Start(aLeading, unit, *assignment, views);
+      placed.Count(unit, *assignment, views);
+      continue;
+    }
+    full = unit.mStep;
+    if (unit.mPriority > 0) {
+      continue;
+    }
+    if (const auto plan = PlanPreemption(unit, PreemptsBelow(unit), views)) {
+      full = nullptr;
+      for (const RunId& run : plan->mStops) {
+        StopRun(aLeading, run, "preempted");
+      }
+    }
+  }
+}
+
+} // namespace dogwooddrum::coordination::workloads
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/Leading.h
@@ -0,0 +1,148 @@
+/** \file
+ * Defines Leading, the leader's memory that the modules of Scheduler share.
+ * Internal to this package. It is rebuilt from the replicated state and the
+ * agents' reports at the start of each leadership.
+ */
+#pragma once
+
+#include "dogwooddrum/coordination/workloads/Scheduler.h"
+
+#include <map>
+#include <set>
+
+namespace dogwooddrum::coordination::workloads {
+
+/** A run that may hold room: proposed, or committed and not ended. */
+struct OpenRun
+{
+  TargetLife mTarget;
+  Room mRoom;
+  std::uint32_t mPriority = 0;
+  base::Time mStartedAt; ///< decided, or taken over with the leadership
+  base::Time mSavedAt;   ///< when the newest checkpoint was first seen
+  std::string mCheckpoint;
+  bool mCommitted = false;
+  bool mStopping = false;
+  bool mEnding = false; ///< its end is proposed
+  bool mGuaranteed = false;
+};
+
+/** One life of a target with the agent that speaks for it. */
+struct Worker
+{
+  protocol::TargetFacts mFacts;
+  std::string mAgentName;
+  base::Incarnation mAgent;
+  Session mSession;
+  std::uint64_t mReportSequence = 0;
+  bool mUp = false; ///< its lease has not ended
+  bool mDirty = false;
+  base::Time mLastGrant;
+  std::int64_t mLeaseUntilUs = 0; ///< on the agent's clock
+  std::map<RunId, protocol::RunningTask> mReported;
+  std::uint64_t mProposedEnds = 0;
+  std::uint64_t mAcknowledged = 0;
+  std::set<RunId> mPendingEnds; ///< proposed and not applied
+  std::uint32_t mFailuresInARow = 0;
+  base::Time mLastFailure;
+};
+
+/** A caller that waits for a commit. */
+struct Waiter
+{
+  Session mSession;
+  base::RequestId mRequest;
+};
+
+struct Leading
+{
+  Leading(const SchedulerOptions& aOptions, const State& aState)
+    : mOptions(aOptions)
+    , mState(&aState)
+  {
+  }
+
+  SchedulerOptions mOptions;
+  const State* mState;
+  SchedulerOutput mOutput;
+  bool mLeads = false;
+  bool mDecide = false; ///< something changed for placement
+  base::Term mTerm;
+  base::Time mNow;
+  base::Time mLeadingSince;
+  base::Time mNextForget;
+  base::Time mNextDecision; ///< placement also depends on time
+  std::int64_t mUnixOffsetMs = 0;
+  std::vector<std::string> mMembers; ///< link addresses of the group
+  std::uint64_t mOrderSequence = 0;
+  std::map<RunId, OpenRun> mRuns;
+  std::map<TargetLife, Worker> mWorkers;
+  std::map<std::string, TargetLife> mByAgent;
+  std::map<TaskId, base::Time> mReadySince;
+  std::map<TaskId, std::set<TargetLife>> mFailedOn;
+  std::map<WorkloadId, std::vector<Waiter>> mSubmits;
+  std::map<WorkloadId, std::vector<Waiter>> mCancels;
+  std::set<WorkloadId> mOccurrenceProposed;
+  std::vector<std::pair<protocol::CatalogVersion, Waiter>> mCatalogWaiters;
+  protocol::CatalogVersion mProposedVersion;
+};
+
+inline std::int64_t
+UnixMs(const Leading& aLeading)
+{
+  return base::ToMilliseconds(aLeading.mNow) + aLeading.mUnixOffsetMs;
+}
+
+inline void
+Propose(Leading& aLeading, ChangeBody aChange)
+{
+  aLeading.mOutput.mChanges.push_back(Change{ std::move(aChange) });
+}
+
+/** Adds a note for the log. */
+void
+Tell(Leading& aLeading,
+     Note::Kind aKind,
+     std::vector<std::pair<std::string_view, std::string>> aFields);
+
+// Requests.
+
+void
+HandleRequest(Leading& aLeading,
+              Session aSession,
+              const protocol::WorkloadRequest& aRequest);
+void
+AnswerCommitted(Leading& aLeading, const Change& aChange);
+
+// Workers.
+
+void
+HandleReport(Leading& aLeading,
+             Session aSession,
+             const protocol::WorkerReport& aReport);
+/** Ends runs whose lease is over. */
+void
+CheckLeases(Leading& aLeading);
+/** Sends orders to workers for which they changed. */
+void
+SendOrders(Leading& aLeading);
+/** Proposes the end of a run once. */
+void
+ProposeEnd(Leading& aLeading,
+           const RunId& aRun,
+           RunEnd aEnd,
+           const std::string& aCheckpoint);
+/** Orders a run to be stopped. */
+void
+StopRun(Leading& aLeading, const RunId& aRun, const char* aWhy);
+
+// Decisions.
+
+/** Proposes starts and stops for what can run now. */
+void
+Decide(Leading& aLeading);
+/** Takes a committed run into the leader's books. */
+void
+AddOpenRun(Leading& aLeading, const RunId& aRun, const TaskRecord& aTask);
+
+} // namespace dogwooddrum::coordination::workloads
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/State.cpp
@@ -0,0 +1,333 @@
+#include "dogwooddrum/coordination/workloads/State.h"
+
+#include <algorithm>
+
+namespace dogwooddrum::coordination::workloads {
+
+namespace {
+
+OccurrenceRecord
+MakeOccurrence(const protocol::WorkloadSpec& aSpec, std::uint32_t aNumber)
+{
+  OccurrenceRecord occurrence;
+  occurrence.mNumber = aNumber;
+  for (const WorkloadStep& step : aSpec.mSteps) {
+    occurrence.mSteps.emplace_back().mTasks.resize(step.mCount);
+  }
+  return occurrence;
+}
+
+bool
+IsDone(const OccurrenceRecord& aOccurrence)
+{
+  return std::all_of(aOccurrence.mSteps.begin(),
+                     aOccurrence.mSteps.end(),
+                     [](const StepRecord& aStep) { return IsDone(aStep); });
+}
+
+bool
+AnyTask(const OccurrenceRecord& aOccurrence, TaskPhase aPhase)
+{
+  for (const StepRecord& step : aOccurrence.mSteps) {
+    for (const TaskRecord& task : step.mTasks) {
+      if (task.mPhase == aPhase) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+bool
+HasOpenRun(const WorkloadRecord& aWorkload)
+{
+  return std::any_of(aWorkload.mOccurrences.begin(),
+                     aWorkload.mOccurrences.end(),
+                     [](const OccurrenceRecord& aOccurrence) {
+                       return AnyTask(aOccurrence, TaskPhase::Running);
+                     });
+}
+
+/** Decides what becomes of a gang once none of its members runs. */
+void
+SettleGang(WorkloadRecord& aWorkload,
+           const WorkloadStep& aSpec,
+           StepRecord& aStep)
+{
+  const bool running = std::any_of(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [](const TaskRecord& aTask) {
+      return aTask.mPhase == TaskPhase::Running;
+    });
+  if (running) {
+    return;
+  }
+  for (TaskRecord& task : aStep.mTasks) {
+    if (aStep.mRunDone) {
+      task.mPhase = TaskPhase::Done;
+      continue;
+    }
+    task.mFailures += aStep.mRunFailed ? 1 : 0;
+    const bool out =
+      !aSpec.mLongRunning && task.mFailures >= aWorkload.mMaxAttempts;
+    task.mPhase = out ? TaskPhase::Failed : TaskPhase::Waiting;
+  }
+  aStep.mRunDone = false;
+  aStep.mRunFailed = false;
+}
+
+void
+SettleTask(const WorkloadRecord& aWorkload,
+           const WorkloadStep& aSpec,
+           TaskRecord& aTask,
+           RunEnd aEnd)
+{
+  if (aSpec.mLongRunning) {
+    aTask.mPhase = TaskPhase::Waiting;
+    return;
+  }
+  if (aEnd == RunEnd::Done) {
+    aTask.mPhase = TaskPhase::Done;
+    return;
+  }
+  aTask.mFailures += aEnd == RunEnd::Failed ? 1 : 0;
+  aTask.mPhase = aTask.mFailures >= aWorkload.mMaxAttempts ? TaskPhase::Failed
+                                                           : TaskPhase::Waiting;
+}
+
+} // namespace
+
+struct State::Applier
+{
+  State& mState;
+
+  WorkloadRecord* Workload(const WorkloadId& aWorkload)
+  {
+    const auto it = mState.mWorkloads.find(aWorkload);
+    return it == mState.mWorkloads.end() ? nullptr : &it->second;
+  }
+
+  /** Returns the step of an open occurrence, or null. */
+  StepRecord* Step(WorkloadRecord& aWorkload, const TaskId& aTask)
+  {
+    for (OccurrenceRecord& occurrence : aWorkload.mOccurrences) {
+      if (occurrence.mNumber == aTask.mOccurrence &&
+          aTask.mStep < occurrence.mSteps.size() &&
+          aTask.mIndex < occurrence.mSteps[aTask.mStep].mTasks.size()) {
+        return &occurrence.mSteps[aTask.mStep];
+      }
+    }
+    return nullptr;
+  }
+
+  void End(WorkloadRecord& aWorkload, WorkloadPhase aPhase, std::int64_t aNowMs)
+  {
+    aWorkload.mPhase = aPhase;
+    aWorkload.mEndedMs = aNowMs;
+  }
+
+  /** Forgets complete occurrences and ends the workload if it is due. */
+  void Settle(const WorkloadId& aId,
+              WorkloadRecord& aWorkload,
+              std::int64_t aNowMs)
+  {
+    auto& open = aWorkload.mOccurrences;
+    if (!HasEnded(aWorkload)) {
+      if (std::any_of(open.begin(), open.end(), [](const auto& aEach) {
+            return AnyTask(aEach, TaskPhase::Failed);
+          })) {
+        End(aWorkload, WorkloadPhase::Failed, aNowMs);
+      } else {
+        open.erase(
+          std::remove_if(open.begin(),
+                         open.end(),
+                         [](const auto& aEach) { return IsDone(aEach); }),
+          open.end());
+        const std::uint32_t total = std::max(1U, aWorkload.mSpec.mRepeatCount);
+        if (open.empty() && aWorkload.mNextOccurrence >= total) {
+          End(aWorkload, WorkloadPhase::Complete, aNowMs);
+        }
+      }
+    }
+    if (HasEnded(aWorkload) && !HasOpenRun(aWorkload)) {
+      aWorkload.mSpec.mPayload.clear();
+      aWorkload.mOccurrences.clear();
+      mState.mActive.erase(aId);
+    }
+  }
+
+  void operator()(const Accept& aChange)
+  {
+    const auto& request = aChange.mRequest;
+    const auto [it, isNew] =
+      mState.mWorkloads.try_emplace(request.mId, WorkloadRecord{});
+    if (!isNew) {
+      return;
+    }
+    WorkloadRecord& workload = it->second;
+    workload.mQueueName = request.mQueue;
+    workload.mAccount = request.mAccount;
+    workload.mSpec = request.mSpec;
+    workload.mAcceptedMs = aChange.mAcceptedMs;
+    if (const auto* queue = FindQueue(mState.mCatalog, request.mQueue)) {
+      workload.mMaxAttempts = std::max(1U, queue->mMaxAttempts);
+    }
+    if (workload.mSpec.mRepeatCount == 0) {
+      workload.mOccurrences.push_back(MakeOccurrence(workload.mSpec, 0));
+      workload.mNextOccurrence = 1;
+    }
+    mState.mActive.insert(request.mId);
+  }
+
+  void operator()(const Cancel& aChange)
+  {
+    WorkloadRecord* workload = Workload(aChange.mWorkload);
+    if (workload != nullptr && !HasEnded(*workload)) {
+      End(*workload, WorkloadPhase::Cancelled, aChange.mNowMs);
+      Settle(aChange.mWorkload, *workload, aChange.mNowMs);
+    }
+  }
+
+  void operator()(const BeginOccurrence& aChange)
+  {
+    WorkloadRecord* workload = Workload(aChange.mWorkload);
+    if (workload == nullptr || HasEnded(*workload) ||
+        workload->mNextOccurrence != aChange.mOccurrence) {
+      return;
+    }
+    workload->mOccurrences.push_back(
+      MakeOccurrence(workload->mSpec, aChange.mOccurrence));
+    ++workload->mNextOccurrence;
+  }
+
+  void operator()(const StartRuns& aChange)
+  {
+    for (const auto& start : aChange.mStarts) {
+      WorkloadRecord* workload = Workload(start.mRun.mTask.mWorkload);
+      StepRecord* step = workload == nullptr || HasEnded(*workload)
+                           ? nullptr
+                           : Step(*workload, start.mRun.mTask);
+      if (step == nullptr) {
+        continue;
+      }
+      TaskRecord& task = step->mTasks[start.mRun.mTask.mIndex];
+      if (task.mPhase != TaskPhase::Waiting || start.mRun.mRun <= task.mRun) {
+        continue;
+      }
+      task.mPhase = TaskPhase::Running;
+      task.mRun = start.mRun.mRun;
+      task.mTarget = start.mTarget;
+      workload->mStarted = true;
+      workload->mPhase = WorkloadPhase::Running;
+    }
+  }
+
+  void operator()(const EndRun& aChange)
+  {
+    WorkloadRecord* workload = Workload(aChange.mRun.mTask.mWorkload);
+    StepRecord* step =
+      workload == nullptr ? nullptr : Step(*workload, aChange.mRun.mTask);
+    if (step == nullptr) {
+      return;
+    }
+    TaskRecord& task = step->mTasks[aChange.mRun.mTask.mIndex];
+    if (task.mPhase != TaskPhase::Running || task.mRun != aChange.mRun.mRun) {
+      return;
+    }
+    const WorkloadStep& spec = StepOf(*workload, aChange.mRun.mTask);
+    if (!aChange.mCheckpoint.empty()) {
+      task.mCheckpoint = aChange.mCheckpoint;
+    }
+    if (spec.mGang) {
+      // All members resume from one value, and any member's will do.
+      for (TaskRecord& member : step->mTasks) {
+        member.mCheckpoint = task.mCheckpoint;
+      }
+      task.mPhase = TaskPhase::Over;
+      step->mRunDone = step->mRunDone || aChange.mEnd == RunEnd::Done;
+      step->mRunFailed = step->mRunFailed || aChange.mEnd == RunEnd::Failed;
+      SettleGang(*workload, spec, *step);
+    } else {
+      SettleTask(*workload, spec, task, aChange.mEnd);
+    }
+    Settle(aChange.mRun.mTask.mWorkload, *workload, aChange.mNowMs);
+  }
+
+  void operator()(const Forget& aChange)
+  {
+    auto& all = mState.mWorkloads;
+    for (auto it = all.begin(); it != all.end();) {
+      const bool old = HasEnded(it->second) &&
+                       it->second.mEndedMs < aChange.mBeforeMs &&
+                       mState.mActive.count(it->first) == 0;
+      it = old ? all.erase(it) : std::next(it);
+    }
+  }
+
+  void operator()(const AdoptCatalog& aChange)
+  {
+    if (aChange.mCatalog.mVersion > mState.mCatalog.mVersion) {
+      mState.mCatalog = aChange.mCatalog;
+    }
+  }
+};
+
+bool
+HasEnded(const WorkloadRecord& aWorkload)
+{
+  return aWorkload.mPhase == WorkloadPhase::Complete ||
+         aWorkload.mPhase == WorkloadPhase::Failed ||
+         aWorkload.mPhase == WorkloadPhase::Cancelled;
+}
+
+void
+State::Apply(const Change& aChange)
+{
+  std::visit(Applier{ *this }, aChange.mBody);
+}
+
+const WorkloadRecord*
+State::Find(const WorkloadId& aWorkload) const
+{
+  const auto it = mWorkloads.find(aWorkload);
+  return it == mWorkloads.end() ? nullptr : &it->second;
+}
+
+const TaskRecord*
+State::Find(const TaskId& aTask) const
+{
+  const WorkloadRecord* workload = Find(aTask.mWorkload);
+  if (workload == nullptr) {
+    return nullptr;
+  }
+  for (const OccurrenceRecord& occurrence : workload->mOccurrences) {
+    if (occurrence.mNumber == aTask.mOccurrence &&
+        aTask.mStep < occurrence.mSteps.size() &&
+        aTask.mIndex < occurrence.mSteps[aTask.mStep].mTasks.size()) {
+      return &occurrence.mSteps[aTask.mStep].mTasks[aTask.mIndex];
+    }
+  }
+  return nullptr;
+}
+
+bool
+IsDone(const StepRecord& aStep)
+{
+  return std::all_of(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [](const TaskRecord& aTask) {
+      return aTask.mPhase == TaskPhase::Done;
+    });
+}
+
+bool
+DependenciesDone(const WorkloadRecord& aWorkload,
+                 const OccurrenceRecord& aOccurrence,
+                 std::size_t aStep)
+{
+  const auto& earlier = aWorkload.mSpec.mSteps[aStep].mDependsOn;
+  return std::all_of(
+    earlier.begin(), earlier.end(), [&](std::uint32_t aEarlier) {
+      return IsDone(aOccurrence.mSteps[aEarlier]);
+    });
+}
+
+} // namespace dogwooddrum::coordination::workloads
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/State.h
@@ -0,0 +1,271 @@
+/** \file
+ * Defines workloads::State, the replicated state of workloads and of the
+ * catalog, and the changes that are applied to it. Deterministic: it reads no
+ * clock and no option.
+ */
+#pragma once
+
+#include "dogwooddrum/protocol/WorkloadMessages.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace dogwooddrum::coordination::workloads {
+
+using protocol::Catalog;
+using protocol::RunEnd;
+using protocol::RunId;
+using protocol::RunNumber;
+using protocol::TargetLife;
+using protocol::TaskId;
+using protocol::WorkloadId;
+using protocol::WorkloadPhase;
+using protocol::WorkloadStep;
+
+// Changes.
+
+/** Accepts a workload; changes nothing if its id is known. */
+struct Accept
+{
+  protocol::SubmitWorkload mRequest;
+  std::int64_t mAcceptedMs = 0; ///< Unix time
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mRequest, mAcceptedMs);
+  }
+};
+
+struct Cancel
+{
+  WorkloadId mWorkload;
+  std::int64_t mNowMs = 0; ///< Unix time
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mWorkload, mNowMs);
+  }
+};
+
+/** Makes the next occurrence of a workload due. */
+struct BeginOccurrence
+{
+  WorkloadId mWorkload;
+  std::uint32_t mOccurrence = 0;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mWorkload, mOccurrence);
+  }
+};
+
+/** Starts tasks; a gang's members together and with one run number. */
+struct StartRuns
+{
+  struct Start
+  {
+    RunId mRun;
+    TargetLife mTarget;
+    template<class Archive>
+    void serialize(Archive& aArchive)
+    {
+      aArchive(mRun, mTarget);
+    }
+  };
+  std::vector<Start> mStarts;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mStarts);
+  }
+};
+
+/** A run is over for good. */
+struct EndRun
+{
+  RunId mRun;
+  RunEnd mEnd = RunEnd::Failed;
+  std::string mCheckpoint; ///< to resume from; empty: keep the earlier one
+  std::int64_t mNowMs = 0; ///< Unix time
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mRun, mEnd, mCheckpoint, mNowMs);
+  }
+};
+
+/** Drops workloads that ended before mBeforeMs (Unix time). */
+struct Forget
+{
+  std::int64_t mBeforeMs = 0;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBeforeMs);
+  }
+};
+
+/** Takes over a catalog of a higher version. */
+struct AdoptCatalog
+{
+  Catalog mCatalog;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mCatalog);
+  }
+};
+
+using ChangeBody = std::variant<Accept,
+                                Cancel,
+                                BeginOccurrence,
+                                StartRuns,
+                                EndRun,
+                                Forget,
+                                AdoptCatalog>;
+
+/** One command of the replicated log. */
+struct Change
+{
+  ChangeBody mBody;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBody);
+  }
+};
+
+// Records.
+
+enum class TaskPhase : std::uint8_t
+{
+  Waiting, ///< may start once its step is due
+  Running, ///< a run is open
+  Over,    ///< its run ended while other members of its gang still run
+  Done,
+  Failed, ///< out of attempts
+};
+
+struct TaskRecord
+{
+  TaskPhase mPhase = TaskPhase::Waiting;
+  RunNumber mRun;     ///< newest; 0: none yet
+  TargetLife mTarget; ///< of the newest run
+  std::uint32_t mFailures = 0;
+  std::string mCheckpoint;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mPhase, mRun, mTarget, mFailures, mCheckpoint);
+  }
+};
+
+struct StepRecord
+{
+  std::vector<TaskRecord> mTasks;
+  // Of the open run of a gang.
+  bool mRunDone = false;   ///< a member ended as done, which counts for all
+  bool mRunFailed = false; ///< a member ended as failed
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTasks, mRunDone, mRunFailed);
+  }
+};
+
+struct OccurrenceRecord
+{
+  std::uint32_t mNumber = 0;
+  std::vector<StepRecord> mSteps;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mNumber, mSteps);
+  }
+};
+
+struct WorkloadRecord
+{
+  protocol::QueueName mQueueName;
+  base::AccountId mAccount;
+  protocol::WorkloadSpec mSpec; ///< the payload is dropped at the end
+  std::int64_t mAcceptedMs = 0; ///< Unix time
+  WorkloadPhase mPhase = WorkloadPhase::Queued;
+  bool mStarted = false;          ///< a task has been started
+  std::int64_t mEndedMs = 0;      ///< Unix time; 0: not ended
+  std::uint32_t mMaxAttempts = 1; ///< as when it was accepted
+  std::uint32_t mNextOccurrence = 0;
+  std::vector<OccurrenceRecord> mOccurrences; ///< begun and not complete
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mQueueName,
+             mAccount,
+             mSpec,
+             mAcceptedMs,
+             mPhase,
+             mStarted,
+             mEndedMs,
+             mMaxAttempts,
+             mNextOccurrence,
+             mOccurrences);
+  }
+};
+
+/** Returns whether no task of the workload may be started any more. */
+bool
+HasEnded(const WorkloadRecord& aWorkload);
+
+/** Replicated workloads and catalog. Thread safety: none. */
+class State
+{
+public:
+  /** Applies a committed change. One that no longer fits changes nothing. */
+  void Apply(const Change& aChange);
+
+  /** Returns the workload, or null. Valid until the next Apply. */
+  const WorkloadRecord* Find(const WorkloadId& aWorkload) const;
+  /** Returns the task, or null if its occurrence is not open. */
+  const TaskRecord* Find(const TaskId& aTask) const;
+  const std::map<WorkloadId, WorkloadRecord>& Workloads() const
+  {
+    return mWorkloads;
+  }
+  /** Returns the workloads that have not ended or still have an open run. */
+  const std::set<WorkloadId>& Active() const { return mActive; }
+  const Catalog& CurrentCatalog() const { return mCatalog; }
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mWorkloads, mActive, mCatalog);
+  }
+
+private:
+  struct Applier;
+
+  std::map<WorkloadId, WorkloadRecord> mWorkloads;
+  std::set<WorkloadId> mActive;
+  Catalog mCatalog;
+};
+
+/** Returns the spec's step of a task. Precondition: it exists. */
+inline const WorkloadStep&
+StepOf(const WorkloadRecord& aWorkload, const TaskId& aTask)
+{
+  return aWorkload.mSpec.mSteps[aTask.mStep];
+}
+
+/** Returns whether all tasks of a step are done. */
+bool
+IsDone(const StepRecord& aStep);
+/** Returns whether all steps that aStep depends on are done. */
+bool
+DependenciesDone(const WorkloadRecord& aWorkload,
+                 const OccurrenceRecord& aOccurrence,
+                 std::size_t aStep);
+
+} // namespace dogwooddrum::coordination::workloads
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -0,0 +1,330 @@
+#include "dogwooddrum/coordination/workloads/WorkerAgent.h"
+
+#include <algorithm>
+
+namespace dogwooddrum::coordination::workloads {
+
+namespace {
+
+/** Lives that are remembered as past, for leaders that have missed them. */
+constexpr std::size_t kMaxPastLives = 4;
+
+bool
+SameFacts(const protocol::TargetFacts& aLeft,
+          const protocol::TargetFacts& aRight)
+{
+  return aLeft.mLife == aRight.mLife && aLeft.mLeaving == aRight.mLeaving &&
+         aLeft.mPool == aRight.mPool && aLeft.mLabels == aRight.mLabels &&
+         aLeft.mCapacity.mMilliCores == aRight.mCapacity.mMilliCores &&
+         aLeft.mCapacity.mMemoryMb == aRight.mCapacity.mMemoryMb &&
+         aLeft.mCapacity.mAccelerators == aRight.mCapacity.mAccelerators;
+}
+
+} // namespace
+
+WorkerAgent::WorkerAgent(const WorkerAgentOptions& aOptions)
+  : mOptions(aOptions)
+{
+}
+
+bool
+WorkerAgent::OnAnnounced(const protocol::TargetFacts& aFacts,
+                         std::uint64_t aSequence)
+{
+  const auto& life = aFacts.mLife;
+  const bool past =
+    std::find(mPastLives.begin(), mPastLives.end(), life) != mPastLives.end();
+  if (past) {
+    return false;
+  }
+  if (mTarget && mTarget->mLife == life) {
+    if (aSequence <= mAnnounced) {
+      return false;
+    }
+    const bool changed = !SameFacts(*mTarget, aFacts);
+    mAnnounced = aSequence;
+    const bool wasLeaving = mTarget->mLeaving;
+    mTarget = aFacts;
+    // A target that leaves does not come back within its life.
+    mTarget->mLeaving = mTarget->mLeaving || wasLeaving;
+    return changed;
+  }
+  if (mTarget && life.mBornMs < mTarget->mLife.mBornMs) {
+    return false; // a delayed message of an earlier life
+  }
+  ForgetLife();
+  mTarget = aFacts;
+  mAnnounced = aSequence;
+  return true;
+}
+
+void
+WorkerAgent::OnLeft(const std::string& aInstance)
+{
+  if (mTarget && mTarget->mLife.mInstance == aInstance) {
+    ForgetLife();
+  }
+}
+
+void
+WorkerAgent::ForgetLife()
+{
+  if (mTarget) {
+    mPastLives.push_back(mTarget->mLife);
+    if (mPastLives.size() > kMaxPastLives) {
+      mPastLives.erase(mPastLives.begin());
+    }
+  }
+  mTarget.reset();
+  mAnnounced = 0;
+  mLeaseUntil = base::Time();
+  mAcknowledged = 0;
+  mStarts.clear();
+  mStops.clear();
+  mInFlight.clear();
+  mNeverRan.clear();
+  mListed = false;
+  mRunning.clear();
+  mEnded.clear();
+  mClockAt = base::Time();
+}
+
+void
+WorkerAgent::OnOrders(const protocol::WorkerOrders& aOrders, base::Time aNow)
+{
+  if (aOrders.mTerm < mTerm ||
+      (aOrders.mTerm == mTerm && aOrders.mSequence <= mOrderSequence)) {
+    return;
+  }
+  mTerm = aOrders.mTerm;
+  mOrderSequence = aOrders.mSequence;
+  if (!mTarget || mTarget->mLife != aOrders.mLife) {
+    return;
+  }
+  mLeaseUntil =
+    std::max(mLeaseUntil, base::Time(base::Duration(aOrders.mLeaseUntilUs)));
+  mAcknowledged = std::max(mAcknowledged, aOrders.mAcknowledged);
+  std::map<protocol::RunId, StartState> starts;
+  for (const auto& order : aOrders.mStarts) {
+    const auto it = mStarts.find(order.mRun);
+    StartState state;
+    if (it != mStarts.end()) {
+      state = std::move(it->second);
+    }
+    state.mOrder = order;
+    starts.emplace(order.mRun, std::move(state));
+  }
+  std::map<protocol::RunId, StopState> stops;
+  for (const auto& run : aOrders.mStops) {
+    const auto it = mStops.find(run);
+    StopState state = it == mStops.end() ? StopState() : it->second;
+    state.mOrdered = true;
+    stops.emplace(run, state);
+  }
+  for (const auto& [run, state] : mStops) {
+    const auto it = starts.find(run);
+    if (it != starts.end() && it->second.mRejected) {
+      stops.emplace(run, state);
+    }
+  }
+  mStarts = std::move(starts);
+  mStops = std::move(stops);
+  for (auto it = mNeverRan.begin(); it != mNeverRan.end();) {
+    const bool open =
+      mStarts.count(it->first) > 0 || mStops.count(it->first) > 0;
+    it = open ? std::next(it) : mNeverRan.erase(it);
+  }
+  static_cast<void>(aNow);
+}
+
+void
+WorkerAgent::OnListing(const protocol::TargetLife& aLife,
+                       std::int64_t aClockMs,
+                       std::vector<protocol::RunningTask> aRunning,
+                       std::vector<protocol::EndedTask> aEnded,
+                       base::Time aCalledAt,
+                       base::Time aNow)
+{
+  if (!mTarget || mTarget->mLife != aLife) {
+    return;
+  }
+  mClockMs = aClockMs;
+  mClockAt = aNow;
+  mRunning = std::move(aRunning);
+  mEnded = std::move(aEnded);
+  mListed = true;
+  FindNeverRan(aCalledAt);
+}
+
+void
+WorkerAgent::FindNeverRan(base::Time aCalledAt)
+{
+  for (const auto& [run, stop] : mStops) {
+    const auto isRun = [&, &wanted = run](const auto& aEach) {
+      return aEach.mRun == wanted;
+    };
+    if (!stop.mAnsweredAt || *stop.mAnsweredAt > aCalledAt ||
+        std::any_of(mRunning.begin(), mRunning.end(), isRun) ||
+        std::any_of(mEnded.begin(), mEnded.end(), isRun)) {
+      continue;
+    }
+    const auto start = mStarts.find(run);
+    mNeverRan[run] =
+      start == mStarts.end() ? "stopped before its start" : start->second.mWhy;
+  }
+}
+
+std::optional<OrderCall>
+WorkerAgent::NextOrder(base::Time aNow)
+{
+  if (!mTarget || mTerm.Value() == 0) {
+    return std::nullopt;
+  }
+  OrderCall call;
+  call.mTerm = mTerm;
+  call.mLife = mTarget->mLife;
+  for (auto& [run, stop] : mStops) {
+    if (!stop.mAnsweredAt && stop.mNextTry <= aNow &&
+        mInFlight.count(run) == 0) {
+      call.mStart.mRun = run;
+      mInFlight.insert(run);
+      return call;
+    }
+  }
+  if (mClockAt == base::Time() || mLeaseUntil - aNow < mOptions.mLeastLease) {
+    return std::nullopt;
+  }
+  for (auto& [run, start] : mStarts) {
+    if (start.mTaken || start.mRejected || start.mNextTry > aNow ||
+        mInFlight.count(run) > 0 || mStops.count(run) > 0) {
+      continue;
+    }
+    if (mTarget->mLeaving) {
+      start.mRejected = true;
+      start.mWhy = "the target is leaving";
+      mStops.emplace(run, StopState());
+      return NextOrder(aNow);
+    }
+    call.mIsStart = true;
+    call.mStart = start.mOrder;
+    call.mLeaseUntilMs = ToTargetClock(mLeaseUntil);
+    mInFlight.insert(run);
+    return call;
+  }
+  return std::nullopt;
+}
+
+std::optional<base::Time>
+WorkerAgent::NextOrderAt() const
+{
+  std::optional<base::Time> next;
+  const auto consider = [&next](base::Time aTime) {
+    next = next ? std::min(*next, aTime) : aTime;
+  };
+  for (const auto& [run, stop] : mStops) {
+    if (!stop.mAnsweredAt) {
+      consider(stop.mNextTry);
+    }
+  }
+  for (const auto& [run, start] : mStarts) {
+    if (!start.mTaken && !start.mRejected) {
+      consider(start.mNextTry);
+    }
+  }
+  return next;
+}
+
+void
+WorkerAgent::OnAnswered(const OrderCall& aCall,
+                        OrderOutcome aOutcome,
+                        const std::string& aMessage,
+                        base::Time aNow)
+{
+  const auto& run = aCall.mStart.mRun;
+  mInFlight.erase(run);
+  if (!mTarget || mTarget->mLife != aCall.mLife) {
+    return;
+  }
+  if (!aCall.mIsStart) {
+    const auto stop = mStops.find(run);
+    if (stop != mStops.end()) {
+      if (aOutcome == OrderOutcome::Done) {
+        stop->second.mAnsweredAt = aNow;
+      } else {
+        stop->second.mNextTry = aNow + mOptions.mOrderRetry;
+      }
+    }
+    return;
+  }
+  const auto start = mStarts.find(run);
+  if (start == mStarts.end()) {
+    return;
+  }
+  switch (aOutcome) {
+    case OrderOutcome::Done:
+      start->second.mTaken = true;
+      break;
+    case OrderOutcome::Rejected:
+      start->second.mRejected = true;
+      start->second.mWhy = aMessage;
+      mStops.emplace(run, StopState());
+      break;
+    case OrderOutcome::Later:
+    case OrderOutcome::Unknown:
+      start->second.mNextTry = aNow + mOptions.mOrderRetry;
+      break;
+  }
+}
+
+std::int64_t
+WorkerAgent::ToTargetClock(base::Time aTime) const
+{
+  return mClockMs + base::ToMilliseconds(aTime - mClockAt);
+}
+
+std::optional<Renewal>
+WorkerAgent::NextRenewal(base::Time aNow) const
+{
+  if (!mTarget || mTerm.Value() == 0) {
+    return std::nullopt;
+  }
+  Renewal renewal;
+  renewal.mTerm = mTerm;
+  renewal.mLife = mTarget->mLife;
+  renewal.mAcknowledged = mAcknowledged;
+  if (mClockAt != base::Time() && mLeaseUntil > aNow) {
+    renewal.mLeaseUntilMs = ToTargetClock(mLeaseUntil);
+  }
+  return renewal;
+}
+
+protocol::WorkerReport
+WorkerAgent::MakeReport(base::Time aNow)
+{
+  protocol::WorkerReport report;
+  report.mAgent = mOptions.mIncarnation;
+  report.mAgentName = mOptions.mName;
+  report.mSequence = ++mReportSequence;
+  report.mSentAtUs = aNow.time_since_epoch().count();
+  report.mTarget = mTarget;
+  report.mPastLives = mPastLives;
+  report.mListed = mListed;
+  report.mRunning = mRunning;
+  report.mEnded = mEnded;
+  for (const auto& [run, why] : mNeverRan) {
+    protocol::EndedTask ended;
+    ended.mRun = run;
+    ended.mEnd = protocol::RunEnd::NeverRan;
+    ended.mMessage = why;
+    report.mEnded.push_back(std::move(ended));
+  }
+  return report;
+}
+
+const protocol::TargetFacts*
+WorkerAgent::Target() const
+{
+  return mTarget ? &*mTarget : nullptr;
+}
+
+} // namespace dogwooddrum::coordination::workloads
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -0,0 +1,320 @@
+#include "dogwooddrum/coordination/workloads/Leading.h"
+
+#include <algorithm>
+
+namespace dogwooddrum::coordination::workloads {
+
+namespace {
+
+/** Time after the newest grant at which the target has ended everything. */
+base::Duration
+LeaseBound(const SchedulerOptions& aOptions)
+{
+  const auto lease = static_cast<double>(aOptions.mTaskLease.count());
+  return base::Duration(
+           static_cast<std::int64_t>(lease * (1 + aOptions.mClockDrift))) +
+         aOptions.mLeaseMargin;
+}
+
+/** Ends all open runs of a life that is over. */
+void
+EndAllRuns(Leading& aLeading, const TargetLife& aLife, RunEnd aEnd)
+{
+  std::vector<std::pair<RunId, std::string>> ends;
+  for (const auto& [run, open] : aLeading.mRuns) {
+    if (open.mTarget == aLife && open.mCommitted && !open.mEnding) {
+      ends.emplace_back(run, open.mCheckpoint);
+    }
+  }
+  for (const auto& [run, checkpoint] : ends) {
+    ProposeEnd(aLeading, run, aEnd, checkpoint);
+  }
+}
+
+void
+RemoveLife(Leading& aLeading, const TargetLife& aLife)
+{
+  EndAllRuns(aLeading, aLife, RunEnd::TargetGone);
+  const auto it = aLeading.mWorkers.find(aLife);
+  if (it == aLeading.mWorkers.end()) {
+    return;
+  }
+  Tell(aLeading,
+       Note::Kind::WorkerLeft,
+       { { "target", aLife.mInstance }, { "agent", it->second.mAgentName } });
+  aLeading.mWorkers.erase(it);
+  aLeading.mDecide = true;
+}
+
+/** Returns the worker of the report, or null if the report is an old one. */
+Worker*
+FindReporter(Leading& aLeading,
+             Session aSession,
+             const protocol::WorkerReport& aReport)
+{
+  const TargetLife& life = aReport.mTarget->mLife;
+  auto& known = aLeading.mByAgent[aReport.mAgentName];
+  if (known != life && !known.mInstance.empty()) {
+    if (life.mBornMs < known.mBornMs) {
+      return nullptr;
+    }
+    RemoveLife(aLeading, known);
+  }
+  known = life;
+  const auto [it, isNew] = aLeading.mWorkers.try_emplace(life);
+  Worker& worker = it->second;
+  if (worker.mAgent == aReport.mAgent &&
+      aReport.mSequence <= worker.mReportSequence) {
+    return nullptr;
+  }
+  if (isNew || !worker.mUp) {
+    Tell(aLeading,
+         Note::Kind::WorkerJoined,
+         { { "target", life.mInstance },
+           { "agent", aReport.mAgentName },
+           { "pool", aReport.mTarget->mPool.Value() },
+           { "rack", aReport.mTarget->mRack.Value() } });
+    aLeading.mDecide = true;
+  }
+  if (worker.mFacts.mLeaving != aReport.mTarget->mLeaving) {
+    aLeading.mDecide = true;
+  }
+  worker.mAgent = aReport.mAgent;
+  worker.mAgentName = aReport.mAgentName;
+  worker.mReportSequence = aReport.mSequence;
+  worker.mSession = aSession;
+  worker.mFacts = *aReport.mTarget;
+  return &worker;
+}
+
+/** Judges a worker by how its runs end. */
+void
+CountResult(Leading& aLeading,
+            const TargetLife& aLife,
+            Worker& aWorker,
+            const RunId& aRun,
+            RunEnd aEnd)
+{
+  if (aEnd == RunEnd::Done) {
+    aWorker.mFailuresInARow = 0;
+    return;
+  }
+  if (aEnd != RunEnd::Failed && aEnd != RunEnd::NeverRan) {
+    return;
+  }
+  auto& failedOn = aLeading.mFailedOn[aRun.mTask];
+  // A task that failed elsewhere too says little about this worker.
+  if (failedOn.empty()) {
+    ++aWorker.mFailuresInARow;
+    aWorker.mLastFailure = aLeading.mNow;
+    if (aWorker.mFailuresInARow == aLeading.mOptions.mSuspectAfter) {
+      Tell(aLeading,
+           Note::Kind::WorkerSuspected,
+           { { "target", aLife.mInstance },
+             { "failures", std::to_string(aWorker.mFailuresInARow) } });
+    }
+  }
+  failedOn.insert(aLife);
+}
+
+void
+TakeEnds(Leading& aLeading,
+         const TargetLife& aLife,
+         Worker& aWorker,
+         const protocol::WorkerReport& aReport)
+{
+  for (const auto& ended : aReport.mEnded) {
+    const bool numbered = ended.mNumber != 0;
+    if (numbered && ended.mNumber <= aWorker.mProposedEnds) {
+      continue;
+    }
+    if (numbered) {
+      aWorker.mProposedEnds = ended.mNumber;
+    }
+    const auto it = aLeading.mRuns.find(ended.mRun);
+    if (it == aLeading.mRuns.end() || it->second.mTarget != aLife ||
+        !it->second.mCommitted || it->second.mEnding) {
+      continue;
+    }
+    CountResult(aLeading, aLife, aWorker, ended.mRun, ended.mEnd);
+    if (numbered) {
+      aWorker.mPendingEnds.insert(ended.mRun);
+    }
+    ProposeEnd(aLeading, ended.mRun, ended.mEnd, ended.mCheckpoint);
+  }
+  if (aWorker.mPendingEnds.empty() &&
+      aWorker.mAcknowledged != aWorker.mProposedEnds) {
+    aWorker.mAcknowledged = aWorker.mProposedEnds;
+  }
+}
+
+void
+TakeRunning(Leading& aLeading,
+            Worker& aWorker,
+            const protocol::WorkerReport& aReport)
+{
+  aWorker.mReported.clear();
+  for (const auto& running : aReport.mRunning) {
+    aWorker.mReported.emplace(running.mRun, running);
+    const auto it = aLeading.mRuns.find(running.mRun);
+    if (it != aLeading.mRuns.end() &&
+        it->second.mCheckpoint != running.mCheckpoint) {
+      it->second.mCheckpoint = running.mCheckpoint;
+      it->second.mSavedAt = aLeading.mNow;
+    }
+  }
+}
+
+protocol::WorkerOrders
+MakeOrders(Leading& aLeading, const TargetLife& aLife, const Worker& aWorker)
+{
+  protocol::WorkerOrders orders;
+  orders.mTerm = aLeading.mTerm;
+  orders.mSequence = ++aLeading.mOrderSequence;
+  orders.mLife = aLife;
+  orders.mLeaseUntilUs = aWorker.mLeaseUntilUs;
+  orders.mAcknowledged = aWorker.mAcknowledged;
+  orders.mMembers = aLeading.mMembers;
+  for (const auto& [run, open] : aLeading.mRuns) {
+    if (open.mTarget != aLife || !open.mCommitted || open.mEnding) {
+      continue;
+    }
+    if (open.mStopping) {
+      orders.mStops.push_back(run);
+      continue;
+    }
+    const auto* workload = aLeading.mState->Find(run.mTask.mWorkload);
+    const auto* task = aLeading.mState->Find(run.mTask);
+    if (aWorker.mReported.count(run) == 0 && workload != nullptr &&
+        task != nullptr) {
+      orders.mStarts.push_back(
+        { run, workload->mSpec.mPayload, task->mCheckpoint });
+    }
+  }
+  for (const auto& [run, running] : aWorker.mReported) {
+    const auto it = aLeading.mRuns.find(run);
+    if (it == aLeading.mRuns.end() || it->second.mTarget != aLife) {
+      orders.mStops.push_back(run);
+    }
+  }
+  return orders;
+}
+
+} // namespace
+
+void
+ProposeEnd(Leading& aLeading,
+           const RunId& aRun,
+           RunEnd aEnd,
+           const std::string& aCheckpoint)
+{
+  const auto it = aLeading.mRuns.find(aRun);
+  if (it == aLeading.mRuns.end() || it->second.mEnding) {
+    return;
+  }
+  it->second.mEnding = true;
+  Tell(aLeading,
+       Note::Kind::RunEnded,
+       { { "task", ToString(aRun.mTask) },
+         { "run", std::to_string(aRun.mRun.Value()) },
+         { "target", it->second.mTarget.mInstance },
+         { "end", ToString(aEnd) },
+         { "ran_ms",
+           std::to_string(
+             base::ToMilliseconds(aLeading.mNow - it->second.mStartedAt)) } });
+  Propose(aLeading, EndRun{ aRun, aEnd, aCheckpoint, UnixMs(aLeading) });
+}
+
+void
+StopRun(Leading& aLeading, const RunId& aRun, const char* aWhy)
+{
+  const auto it = aLeading.mRuns.find(aRun);
+  if (it == aLeading.mRuns.end() || it->second.mStopping) {
+    return;
+  }
+  it->second.mStopping = true;
+  Tell(aLeading,
+       Note::Kind::RunStopped,
+       { { "task", ToString(aRun.mTask) },
+         { "run", std::to_string(aRun.mRun.Value()) },
+         { "target", it->second.mTarget.mInstance },
+         { "reason", aWhy } });
+  const auto worker = aLeading.mWorkers.find(it->second.mTarget);
+  if (worker != aLeading.mWorkers.end()) {
+    worker->second.mDirty = true;
+  }
+}
+
+void
+HandleReport(Leading& aLeading,
+             Session aSession,
+             const protocol::WorkerReport& aReport)
+{
+  for (const TargetLife& past : aReport.mPastLives) {
+    RemoveLife(aLeading, past);
+  }
+  if (!aReport.mTarget) {
+    return;
+  }
+  Worker* worker = FindReporter(aLeading, aSession, aReport);
+  if (worker == nullptr) {
+    return;
+  }
+  const TargetLife& life = aReport.mTarget->mLife;
+  if (aReport.mListed) {
+    TakeEnds(aLeading, life, *worker, aReport);
+    TakeRunning(aLeading, *worker, aReport);
+  }
+  worker->mUp = true;
+  worker->mDirty = true;
+  worker->mLastGrant = aLeading.mNow;
+  worker->mLeaseUntilUs =
+    aReport.mSentAtUs + aLeading.mOptions.mTaskLease.count();
+}
+
+void
+CheckLeases(Leading& aLeading)
+{
+  const auto bound = LeaseBound(aLeading.mOptions);
+  for (auto& [life, worker] : aLeading.mWorkers) {
+    if (worker.mUp && aLeading.mNow - worker.mLastGrant >= bound) {
+      worker.mUp = false;
+      Tell(aLeading,
+           Note::Kind::WorkerLost,
+           { { "target", life.mInstance }, { "agent", worker.mAgentName } });
+      EndAllRuns(aLeading, life, RunEnd::Lapsed);
+      aLeading.mDecide = true;
+    }
+  }
+  // Runs on targets that have not been reported to this leader.
+  if (aLeading.mNow - aLeading.mLeadingSince < bound) {
+    return;
+  }
+  std::set<TargetLife> unheard;
+  for (const auto& [run, open] : aLeading.mRuns) {
+    if (open.mCommitted && !open.mEnding &&
+        aLeading.mWorkers.count(open.mTarget) == 0) {
+      unheard.insert(open.mTarget);
+    }
+  }
+  for (const TargetLife& life : unheard) {
+    EndAllRuns(aLeading, life, RunEnd::Lapsed);
+  }
+}
+
+void
+SendOrders(Leading& aLeading)
+{
+  for (auto& [life, worker] : aLeading.mWorkers) {
+    if (!worker.mDirty || worker.mSession == Session()) {
+      continue;
+    }
+    worker.mDirty = false;
+    SchedulerMessage message;
+    message.mSession = worker.mSession;
+    message.mBody = MakeOrders(aLeading, life, worker);
+    aLeading.mOutput.mMessages.push_back(std::move(message));
+  }
+}
+
+} // namespace dogwooddrum::coordination::workloads
--- a/dogwooddrum/daemon/AgentHost.cpp
+++ b/dogwooddrum/daemon/AgentHost.cpp
@@ -132,6 +132,7 @@
   /** Work that is not repeatable would be lost for good. */
   bool MayAbandon() override { return !mHoldsUnrepeatable; }
 
+  void Reload(const service::Settings&) override {}
   std::size_t TasksInProgress() override { return mHeld; }
 
   void Stop() override
--- a/dogwooddrum/daemon/Clock.cpp
+++ b/dogwooddrum/daemon/Clock.cpp
@@ -13,4 +13,14 @@
     std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+std::int64_t
+UnixNowMs()
+{
+  timespec now = {};
+  clock_gettime(CLOCK_REALTIME, &now);
+  constexpr std::int64_t kMsPerSecond = 1000;
+  constexpr std::int64_t kNsPerMs = 1000000;
+  return now.tv_sec * kMsPerSecond + now.tv_nsec / kNsPerMs;
+}
+
 } // namespace dogwooddrum::daemon
--- a/dogwooddrum/daemon/Clock.h
+++ b/dogwooddrum/daemon/Clock.h
@@ -15,4 +15,8 @@
 base::Time
 Now();
 
+/** Returns the time of day as Unix time in ms; it may jump. Thread safe. */
+std::int64_t
+UnixNowMs();
+
 } // namespace dogwooddrum::daemon
--- a/dogwooddrum/daemon/ControlCore.cpp
+++ b/dogwooddrum/daemon/ControlCore.cpp
@@ -5,6 +5,7 @@
 #include "dogwooddrum/service/LogEvents.h"
 
 #include <algorithm>
+#include <map>
 
 namespace dogwooddrum::daemon {
 
@@ -23,6 +24,11 @@
 constexpr base::Duration kSlowSync = base::Milliseconds(250);
 /** The measure visits every worker, so it is not taken for each change. */
 constexpr base::Duration kFragmentationInterval = base::Milliseconds(5000);
+/** Repair steps wait for commits; this only bounds the pause between them. */
+constexpr base::Duration kRepairInterval = base::Milliseconds(50);
+/** A candidate asks several times within this time. */
+constexpr base::Duration kCandidateAge = base::Milliseconds(2000);
+constexpr std::size_t kMaxCandidates = 64;
 constexpr base::Duration kSnapshotLoopTick = base::Milliseconds(1000);
 /** A failed or endless loop of outputs would stop the timers. */
 constexpr int kMaxPumpRounds = 1000;
@@ -283,6 +289,32 @@
     mStatus.mLargestInZone = report.mLargestInZone;
   }
 
+  /** Proposes the next change that the group needs. */
+  void Repair(base::Time aNow)
+  {
+    if (!mLeads || !mOptions.mRepair || aNow < mNextRepair) {
+      return;
+    }
+    mNextRepair = aNow + kRepairInterval;
+    coordination::consensus::GroupView view;
+    view.mMembership = mRaft.CurrentMembership();
+    view.mSelf = mOptions.mRaft.mSelf;
+    for (const auto& member : view.mMembership.mMembers) {
+      if (const auto heard = mRaft.LastContact(member.mId)) {
+        view.mSilence[member.mId] = aNow - *heard;
+      }
+    }
+    for (const auto& [address, asked] : mCandidates) {
+      if (aNow - asked.mWhen <= kCandidateAge) {
+        view.mCandidates.push_back({ asked.mMember, address });
+      }
+    }
+    if (const auto next =
+          coordination::consensus::NextRepair(view, *mOptions.mRepair)) {
+      mRaft.ProposeMembership(*next, aNow);
+    }
+  }
+
   bool HandleOutput(coordination::control::Output aOutput)
   {
     const auto now = Now();
@@ -303,6 +335,9 @@
     for (const auto& notice : aOutput.mNotices) {
       mHooks.mNotice(notice);
     }
+    for (const auto& note : aOutput.mNotes) {
+      mHooks.mNote(note);
+    }
     return worked;
   }
 
@@ -337,6 +372,14 @@
   base::MemberId mLeader;
   base::Time mNextFragmentation{};
   std::string mMemberText;
+  /** A process that asked to join, by its address; the newest one counts. */
+  struct Asked
+  {
+    base::MemberId mMember;
+    base::Time mWhen;
+  };
+  std::map<std::string, Asked> mCandidates;
+  base::Time mNextRepair{};
 };
 
 ControlCore::ControlCore(
@@ -390,6 +433,23 @@
   });
 }
 
+void
+ControlCore::OnJoinRequest(const protocol::JoinRequest& aRequest)
+{
+  auto& candidates = mImpl->mCandidates;
+  if (candidates.size() >= kMaxCandidates &&
+      candidates.count(aRequest.mAddress) == 0) {
+    candidates.erase(candidates.begin());
+  }
+  candidates[aRequest.mAddress] = { aRequest.mMember, Now() };
+}
+
+const coordination::consensus::Membership&
+ControlCore::CurrentMembership() const
+{
+  return mImpl->mRaft.CurrentMembership();
+}
+
 void
 ControlCore::TransferLeadership()
 {
@@ -400,8 +460,10 @@
 ControlCore::Tick(base::Time aNow)
 {
   mImpl->mRaft.Tick(aNow);
+  mImpl->mCoordinator.SetUnixOffset(UnixNowMs() - base::ToMilliseconds(aNow));
   mImpl->mCoordinator.Tick(aNow);
   mImpl->UpdateFragmentation(aNow);
+  mImpl->Repair(aNow);
 }
 
 void
--- a/dogwooddrum/daemon/ControlCore.h
+++ b/dogwooddrum/daemon/ControlCore.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "dogwooddrum/coordination/consensus/GroupRepair.h"
 #include "dogwooddrum/coordination/consensus/Raft.h"
 #include "dogwooddrum/coordination/control/Coordinator.h"
 #include "dogwooddrum/daemon/EventLoop.h"
@@ -20,6 +21,8 @@
   coordination::consensus::RaftOptions mRaft;
   coordination::control::CoordinatorOptions mCoordinator;
   std::uint64_t mSnapshotEntries = 20000;
+  /** Present: lost members are replaced without an operator. */
+  std::optional<coordination::consensus::GroupRepairOptions> mRepair;
 };
 
 /** What the core needs from its host. Called on the decision thread. */
@@ -29,6 +32,7 @@
   std::function<void(const coordination::control::Outgoing&)> mSendSession;
   std::function<void(const coordination::consensus::Membership&)> mMembership;
   std::function<void(const coordination::control::Notice&)> mNotice;
+  std::function<void(const coordination::workloads::Note&)> mNote;
   std::function<void(const Synced&)> mSynced; ///< on the log thread
 };
 
@@ -79,6 +83,10 @@
   void Receive(const coordination::consensus::Message& aMessage);
   /** Returns whether aMember votes in the newest membership. */
   bool IsVoter(base::MemberId aMember) const;
+  /** Notes that a process wants to join. */
+  void OnJoinRequest(const protocol::JoinRequest& aRequest);
+  /** Returns the newest membership, committed or not. */
+  const coordination::consensus::Membership& CurrentMembership() const;
   /** Returns the coordinator, to pass events in. */
   coordination::control::Coordinator& Decisions();
   void TransferLeadership();
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -3,8 +3,10 @@
 #include "dogwooddrum/daemon/DataFolder.h"
 #include "dogwooddrum/daemon/EventLoop.h"
 #include "dogwooddrum/daemon/Host.h"
+#include "dogwooddrum/daemon/JoinLinks.h"
 #include "dogwooddrum/daemon/MemberCheck.h"
 #include "dogwooddrum/daemon/Notices.h"
+#include "dogwooddrum/daemon/OperatorPort.h"
 #include "dogwooddrum/daemon/PeerLinks.h"
 #include "dogwooddrum/protocol/Codec.h"
 #include "dogwooddrum/service/LogEvents.h"
@@ -25,6 +27,9 @@
 using service::LogEvent;
 
 constexpr base::Duration kTick = base::Milliseconds(10);
+constexpr base::Duration kJoinInterval = base::Milliseconds(200);
+/** Longer than any election that succeeds. */
+constexpr base::Duration kLeaderlessBeforeJoin = base::Milliseconds(3000);
 /** Links of entries, agents and members that one member accepts. */
 constexpr std::size_t kMaxLinks = 20000;
 /** A leader that cannot hand over within this time exits all the same; the
@@ -58,6 +63,11 @@
   placer.mInteractiveBorrowShare = aSettings.mInteractiveBorrowPercent / 100.0;
   placer.mFailuresToQuarantine = aSettings.mFailuresToQuarantine;
   placer.mQuarantineTime = aSettings.mQuarantineTime;
+  coordinator.mWorkloads.mTaskLease = aSettings.mTaskLease;
+  if (!aSettings.mSeeds.empty()) {
+    options.mRepair.emplace();
+    options.mRepair->mVoters = 2 * aSettings.mToleratedLosses + 1;
+  }
   return options;
 }
 
@@ -91,6 +101,14 @@
     {
       return MessageType::NotLeader;
     }
+    MessageType operator()(const protocol::WorkloadReply&) const
+    {
+      return MessageType::WorkloadReply;
+    }
+    MessageType operator()(const protocol::WorkerOrders&) const
+    {
+      return MessageType::WorkerOrders;
+    }
   };
   return std::visit(Visitor{}, aMessage.mMessage);
 }
@@ -103,22 +121,30 @@
     : mContext(aContext)
     , mSettings(aContext.mSettings.mControl)
     , mFiles(state::MakePosixFileSystem())
-    , mLoop(kTick,
-            { [this](base::Time aNow) { mCore->Tick(aNow); },
-              [this] { mCore->Pump(); } })
+    , mLoop(
+        kTick,
+        { [this](base::Time aNow) { Tick(aNow); }, [this] { mCore->Pump(); } })
   {
   }
   ~ControlHost() override { Stop(); }
 
   base::Outcome<bool> Start() override
   {
+    if (!mSettings.mSeeds.empty()) {
+      const auto resolved =
+        ResolveMember(*mFiles, mContext.mSettings.mCommon, mSettings);
+      if (!resolved) {
+        return resolved.LastFailure();
+      }
+      mSettings = *resolved;
+    }
     const auto options = MakeLinkOptions(
       mContext, transport::PeerRole::Control, mSettings.mMemberId.Value());
     const auto founded = IsFounded(*mFiles, mSettings);
     if (!founded) {
       return founded.LastFailure();
     }
-    if (!*founded) {
+    if (!*founded && mSettings.mSeeds.empty()) {
       const auto checked = CheckNotVoter(
         *mContext.mNetwork, options, *mContext.mCounters, mSettings);
       if (!checked) {
@@ -166,9 +192,14 @@
       { { "protocol", "links" },
         { "address",
           common.mBindAddress + ":" + std::to_string(mServer->Port()) } });
+    mJoin = std::make_unique<JoinLinks>(*mContext.mNetwork,
+                                        options,
+                                        *mContext.mCounters,
+                                        mSettings.mMemberId,
+                                        SelfAddress());
     mCore->Start();
     mLoop.Start();
-    return true;
+    return ListenForOperators();
   }
 
   bool Ready() override
@@ -211,6 +242,9 @@
   void CloseListeners() override
   {
     mHandoverBegin = Now();
+    if (mOperators) {
+      mOperators->Drain();
+    }
     mLoop.Post([this] { mCore->TransferLeadership(); });
   }
 
@@ -232,10 +266,12 @@
       service::Log(LogEvent::LeadershipTransferred,
                    { { "term", status.mTerm.load() } });
     }
-    return now - mNotLeading >= kRedirectTime;
+    return now - mNotLeading >= kRedirectTime &&
+           (!mOperators || mOperators->InProgress() == 0);
   }
 
   bool MayAbandon() override { return true; }
+  void Reload(const service::Settings&) override {}
   std::size_t TasksInProgress() override { return 0; }
 
   void Stop() override
@@ -243,7 +279,13 @@
     if (mServer) {
       mServer->Stop();
     }
+    if (mOperators) {
+      mOperators->Stop();
+    }
     mLoop.Stop();
+    if (mJoin) {
+      mJoin->Stop();
+    }
     if (mCore) {
       mCore->Stop();
     }
@@ -253,6 +295,67 @@
   }
 
 private:
+  std::string SelfAddress() const
+  {
+    const auto& common = mContext.mSettings.mCommon;
+    return service::ToString(
+      service::Address{ common.mBindAddress, common.mLinkPort });
+  }
+
+  base::Outcome<bool> ListenForOperators()
+  {
+    if (!mSettings.mOperatorAddress || !mContext.mAdapters->mOperators) {
+      return true;
+    }
+    mOperators = std::make_unique<OperatorPort>(
+      *mContext.mNetwork, *mContext.mAdapters->mOperators, mLoop);
+    return mOperators->Listen(ToTransport(*mSettings.mOperatorAddress), *mCore);
+  }
+
+  void Tick(base::Time aNow)
+  {
+    mCore->Tick(aNow);
+    if (mOperators) {
+      mOperators->Tick(aNow);
+    }
+    if (!mSettings.mSeeds.empty()) {
+      Join(aNow);
+    }
+  }
+
+  /** Asks to join while this process is no voter, or hears of no leader: it
+   * may have been replaced while it was cut off. */
+  void Join(base::Time aNow)
+  {
+    const bool known = mCore->Status().mLeader != 0;
+    mLastLeader = known || mLastLeader == base::Time{} ? aNow : mLastLeader;
+    if (mCore->IsVoter(mSettings.mMemberId) &&
+        (known || aNow - mLastLeader < kLeaderlessBeforeJoin)) {
+      mJoin->Rest();
+      return;
+    }
+    if (aNow < mNextJoin) {
+      return;
+    }
+    mNextJoin = aNow + kJoinInterval;
+    std::vector<transport::Address> addresses;
+    for (const auto& seed : mSettings.mSeeds) {
+      addresses.push_back({ seed.mIp, mContext.mSettings.mCommon.mLinkPort });
+    }
+    for (const auto& member : mCore->CurrentMembership().mMembers) {
+      if (const auto address = transport::ParseAddress(member.mAddress)) {
+        addresses.push_back(*address);
+      }
+    }
+    mJoin->Ask(addresses, [this](const auto& aMembership) {
+      mLoop.Post([this, aMembership] {
+        if (mCore->CurrentMembership().mMembers.empty()) {
+          mPeers->Update(aMembership);
+        }
+      });
+    });
+  }
+
   static void LogRecovered(
     const coordination::consensus::RecoveredState& aRecovered)
   {
@@ -274,6 +377,16 @@
       mPeers->Send(aMessage);
     };
     hooks.mSendSession = [this](const Outgoing& aMessage) {
+      if (aMessage.mSession.Value() == kOperatorSession) {
+        const auto* reply =
+          std::get_if<protocol::WorkloadReply>(&aMessage.mMessage);
+        if (reply != nullptr) {
+          mOperators->OnReply(*reply);
+        } else {
+          mOperators->OnLeadershipLost();
+        }
+        return;
+      }
       const auto it = mSessions.find(aMessage.mSession.Value());
       if (it != mSessions.end()) {
         std::visit(
@@ -293,6 +406,10 @@
       mContext.mNetwork->Post(
         [this, aNotice] { Report(aNotice, *mContext.mMetrics); });
     };
+    hooks.mNote = [this](const coordination::workloads::Note& aNote) {
+      mContext.mNetwork->Post(
+        [this, aNote] { Report(aNote, *mContext.mMetrics); });
+    };
     hooks.mSynced = [this](const Synced& aSynced) {
       auto& metrics = *mContext.mMetrics;
       metrics.Add(service::Counter::LogSyncs);
@@ -360,6 +477,27 @@
                  aLink->Send(MessageType::MemberAnswer,
                              std::string_view(&answer, 1));
                });
+      case MessageType::JoinRequest:
+        return peer.mRole == PeerRole::Control &&
+               Pass<protocol::JoinRequest>(
+                 aFrame, [this, aLink](const auto& aRequest) {
+                   mCore->OnJoinRequest(aRequest);
+                   aLink->Send(MessageType::JoinReply,
+                               protocol::Encode(mCore->CurrentMembership()));
+                 });
+      case MessageType::WorkloadRequest:
+        return peer.mRole == PeerRole::Entry &&
+               Pass<protocol::WorkloadRequest>(
+                 aFrame, [this, session](const auto& aRequest) {
+                   mCore->Decisions().OnWorkloadRequest(
+                     session, aRequest, Now());
+                 });
+      case MessageType::WorkerReport:
+        return peer.mRole == PeerRole::Agent &&
+               Pass<protocol::WorkerReport>(
+                 aFrame, [this, session](const auto& aReport) {
+                   mCore->Decisions().OnWorkerReport(session, aReport, Now());
+                 });
       case MessageType::ClientRequest:
         return peer.mRole == PeerRole::Entry &&
                Pass<protocol::ClientRequest>(
@@ -427,11 +565,15 @@
   }
 
   HostContext& mContext;
-  const service::ControlSettings& mSettings;
+  service::ControlSettings mSettings; ///< the member id may be resolved
   std::unique_ptr<state::FileSystem> mFiles;
   std::unique_ptr<PeerLinks> mPeers;
   std::unique_ptr<ControlCore> mCore;
   std::unique_ptr<transport::LinkServer> mServer;
+  std::unique_ptr<JoinLinks> mJoin;
+  std::unique_ptr<OperatorPort> mOperators;
+  base::Time mNextJoin{};
+  base::Time mLastLeader{};
   /** Links of entries and agents; used by the decision thread only. */
   std::unordered_map<std::uint64_t, transport::LinkPtr> mSessions;
   EventLoop mLoop;
--- a/dogwooddrum/daemon/ControlLinks.cpp
+++ b/dogwooddrum/daemon/ControlLinks.cpp
@@ -140,14 +140,21 @@
     if (!address) {
       return std::nullopt;
     }
+    return Learn(*address);
+  }
+
+  /** Returns the index of a known address; adds an unknown one.
+   * Precondition: mMutex is held. */
+  std::optional<std::size_t> Learn(const transport::Address& aAddress)
+  {
     for (std::size_t i = 0; i < mControls.size(); ++i) {
-      if (mControls[i]->mAddress.mHost == address->mHost &&
-          mControls[i]->mAddress.mPort == address->mPort) {
+      if (mControls[i]->mAddress.mHost == aAddress.mHost &&
+          mControls[i]->mAddress.mPort == aAddress.mPort) {
         return i;
       }
     }
     if (mControls.size() < kMaxMembers && !mStopped) {
-      Add(*address);
+      Add(aAddress);
       mControls.back()->mClient->Start();
     }
     return std::nullopt;
@@ -280,6 +287,18 @@
   mImpl->OnNotLeader(aRoute, aReply);
 }
 
+void
+ControlLinks::Learn(const std::vector<std::string>& aAddresses)
+{
+  const std::lock_guard<std::mutex> lock(mImpl->mMutex);
+  for (const auto& text : aAddresses) {
+    const auto address = transport::ParseAddress(text);
+    if (address) {
+      mImpl->Learn(*address);
+    }
+  }
+}
+
 void
 ControlLinks::OnLeader(Route aRoute)
 {
--- a/dogwooddrum/daemon/ControlLinks.h
+++ b/dogwooddrum/daemon/ControlLinks.h
@@ -55,6 +55,8 @@
    * that it named, or another member; mRoute follows.
    */
   void OnNotLeader(Route aRoute, const protocol::NotLeader& aReply);
+  /** Opens links to members that are not known yet. */
+  void Learn(const std::vector<std::string>& aAddresses);
   /** Tells that the member behind aRoute answered as the leader. */
   void OnLeader(Route aRoute);
 
--- a/dogwooddrum/daemon/Daemon.cpp
+++ b/dogwooddrum/daemon/Daemon.cpp
@@ -30,14 +30,15 @@
   return kStartFailed;
 }
 
-/** Waits for SIGTERM or SIGINT, at most aTimeout. Returns whether one came. */
-bool
+/** Waits for a signal, at most aTimeout. Returns it, or 0 if none came. */
+int
 WaitForSignal(const sigset_t& aSignals, base::Duration aTimeout)
 {
   timespec timeout = {};
   timeout.tv_sec = aTimeout.count() / 1000000;
   timeout.tv_nsec = (aTimeout.count() % 1000000) * 1000;
-  return sigtimedwait(&aSignals, nullptr, &timeout) > 0;
+  const int signal = sigtimedwait(&aSignals, nullptr, &timeout);
+  return signal > 0 ? signal : 0;
 }
 
 /** Blocks the signals in this and all later threads. */
@@ -48,6 +49,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   // A peer that closes its end while this one writes must not end the process.
   struct sigaction ignore = {};
@@ -61,13 +63,17 @@
 {
   switch (aContext.mSettings.mCommon.mRole) {
     case service::Role::Entry:
+      if (aContext.mSettings.mEntry.mFrontendAddress) {
+        return MakeGatewayHost(aContext);
+      }
       return MakeEntryHost(aContext);
     case service::Role::Control:
       return MakeControlHost(aContext);
     case service::Role::Agent:
       break;
   }
-  return MakeAgentHost(aContext);
+  return aContext.mSettings.mAgent.mAnnounceAddress ? MakeWorkerHost(aContext)
+                                                    : MakeAgentHost(aContext);
 }
 
 transport::ServerResponse
@@ -84,9 +90,12 @@
 class Process
 {
 public:
-  Process(HostContext& aContext, const sigset_t& aSignals)
+  Process(HostContext& aContext,
+          const sigset_t& aSignals,
+          std::string aSettingsFile)
     : mContext(aContext)
     , mSignals(aSignals)
+    , mSettingsFile(std::move(aSettingsFile))
     , mHost(MakeHost(aContext))
   {
   }
@@ -163,9 +172,15 @@
   void Serve()
   {
     const auto& common = mContext.mSettings.mCommon;
-    while (!WaitForSignal(
-      mSignals,
-      mLifeCycle.Current() == Phase::Starting ? kWatchInterval : kSignalWait)) {
+    while (true) {
+      const int signal = WaitForSignal(
+        mSignals,
+        mLifeCycle.Current() == Phase::Starting ? kWatchInterval : kSignalWait);
+      if (signal == SIGHUP) {
+        Reload();
+      } else if (signal != 0) {
+        return;
+      }
       if (mLifeCycle.Current() == Phase::Starting && mHost->Ready() &&
           mLifeCycle.BecomeReady()) {
         service::Log(LogEvent::Ready,
@@ -175,6 +190,19 @@
     }
   }
 
+  /** A file that cannot be used changes nothing. */
+  void Reload()
+  {
+    const auto settings = service::LoadSettings(mSettingsFile);
+    if (!settings) {
+      service::Log(LogEvent::ReloadFailed,
+                   { { "message", settings.LastFailure().mMessage } });
+      return;
+    }
+    service::Log(LogEvent::Reloaded, { { "file", mSettingsFile } });
+    mHost->Reload(*settings);
+  }
+
   void Drain()
   {
     const auto& common = mContext.mSettings.mCommon;
@@ -229,6 +257,7 @@
 
   HostContext& mContext;
   const sigset_t mSignals;
+  const std::string mSettingsFile;
   LifeCycle mLifeCycle;
   std::unique_ptr<Host> mHost;
   std::unique_ptr<transport::HttpServer> mServer;
@@ -237,7 +266,7 @@
 } // namespace
 
 int
-RunDaemon(const std::string& aSettingsFile)
+RunDaemon(const std::string& aSettingsFile, const Adapters& aAdapters)
 {
   auto settings = service::LoadSettings(aSettingsFile);
   if (!settings) {
@@ -251,12 +280,15 @@
     return RefuseStart(log.LastFailure().mMessage);
   }
   const auto signals = BlockSignals();
-  const auto key = transport::LoadKeyFile(common.mKeyFile);
-  if (!key) {
-    return RefuseStart(key.LastFailure().mMessage);
-  }
   HostContext context;
-  context.mKey = *key;
+  context.mKey = common.mKey;
+  if (common.mKey.empty()) {
+    const auto key = transport::LoadKeyFile(common.mKeyFile);
+    if (!key) {
+      return RefuseStart(key.LastFailure().mMessage);
+    }
+    context.mKey = *key;
+  }
   if (!common.mOperatorKeyFile.empty()) {
     const auto operatorKey = transport::LoadKeyFile(common.mOperatorKeyFile);
     if (!operatorKey) {
@@ -275,7 +307,8 @@
   context.mNetwork = &network;
   context.mMetrics = &metrics;
   context.mCounters = &counters;
-  Process process(context, signals);
+  context.mAdapters = &aAdapters;
+  Process process(context, signals, aSettingsFile);
   const int status = process.Run();
   network.Stop();
   return status;
--- a/dogwooddrum/daemon/Daemon.h
+++ b/dogwooddrum/daemon/Daemon.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include "dogwooddrum/daemon/Adapters.h"
+
 #include <string>
 
 namespace dogwooddrum::daemon {
@@ -14,7 +16,7 @@
  * threads exist.
  */
 int
-RunDaemon(const std::string& aSettingsFile);
+RunDaemon(const std::string& aSettingsFile, const Adapters& aAdapters);
 
 /**
  * Prepares the data folder of a control member for a new group and returns
--- a/dogwooddrum/daemon/DataFolder.cpp
+++ b/dogwooddrum/daemon/DataFolder.cpp
@@ -1,8 +1,10 @@
 #include "dogwooddrum/daemon/DataFolder.h"
 
+#include "dogwooddrum/base/Checksum.h"
 #include "dogwooddrum/protocol/Codec.h"
 
 #include <algorithm>
+#include <random>
 
 namespace dogwooddrum::daemon {
 
@@ -70,6 +72,22 @@
   return membership;
 }
 
+/** All first members derive the same ids from the seeds' addresses. */
+base::MemberId
+SeedMemberId(const std::string& aIp)
+{
+  constexpr std::uint64_t kIdMask = (1ULL << 62) - 1;
+  return base::MemberId((base::Checksum(aIp) & kIdMask) | 1U);
+}
+
+base::MemberId
+RandomMemberId()
+{
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> draw(1, (1ULL << 62) - 1);
+  return base::MemberId(draw(device));
+}
+
 bool
 Empty(const coordination::consensus::RecoveredState& aState)
 {
@@ -121,6 +139,53 @@
   return std::count(names->begin(), names->end(), kFoundingName) > 0;
 }
 
+base::Outcome<service::ControlSettings>
+ResolveMember(state::FileSystem& aFiles,
+              const service::CommonSettings& aCommon,
+              const service::ControlSettings& aSettings)
+{
+  service::ControlSettings settings = aSettings;
+  bool isSeed = false;
+  for (const auto& seed : settings.mSeeds) {
+    const service::Address address{ seed.mIp, aCommon.mLinkPort };
+    isSeed = isSeed || seed.mIp == aCommon.mBindAddress;
+    settings.mPeers.push_back({ SeedMemberId(seed.mIp), address });
+  }
+  const auto founded = IsFounded(aFiles, settings);
+  if (!founded) {
+    return founded.LastFailure();
+  }
+  const auto identity =
+    state::ReadIdentity(aFiles, settings.mDataFolder + kLogFolder);
+  if (!identity) {
+    return identity.LastFailure();
+  }
+  const bool founds = !*founded && settings.mBootstrap && isSeed;
+  if (!founds) {
+    settings.mPeers.clear();
+  }
+  if (*identity) {
+    settings.mMemberId = **identity;
+  } else {
+    settings.mMemberId =
+      founds ? SeedMemberId(aCommon.mBindAddress) : RandomMemberId();
+  }
+  if (founds) {
+    state::StorageOptions options;
+    options.mFolder = settings.mDataFolder + kLogFolder;
+    const auto log = state::Storage::Open(aFiles, options, settings.mMemberId);
+    if (!log) {
+      return log.LastFailure();
+    }
+    const auto written = WriteFounding(
+      aFiles, settings.mDataFolder, FirstMembership(settings, true));
+    if (!written) {
+      return written.LastFailure();
+    }
+  }
+  return settings;
+}
+
 base::Outcome<OpenedFolder>
 OpenDataFolder(state::FileSystem& aFiles,
                const service::ControlSettings& aSettings)
--- a/dogwooddrum/daemon/DataFolder.h
+++ b/dogwooddrum/daemon/DataFolder.h
@@ -47,4 +47,16 @@
 OpenDataFolder(state::FileSystem& aFiles,
                const service::ControlSettings& aSettings);
 
+/**
+ * Returns aSettings with the member id and the first members of a group that
+ * is set up from seeds: the id on the disk if there is one; on the empty disk
+ * of a seed with bootstrap an id derived from its address, after the folder
+ * was prepared for founding; or else a new random id, with which the member
+ * has to ask to join. Precondition: aSettings names seeds.
+ */
+base::Outcome<service::ControlSettings>
+ResolveMember(state::FileSystem& aFiles,
+              const service::CommonSettings& aCommon,
+              const service::ControlSettings& aSettings);
+
 } // namespace dogwooddrum::daemon
--- a/dogwooddrum/daemon/EntryHost.cpp
+++ b/dogwooddrum/daemon/EntryHost.cpp
@@ -95,6 +95,7 @@
   void CloseListeners() override {}
   bool Drained() override { return mTable->InProgress() == 0; }
   bool MayAbandon() override { return true; }
+  void Reload(const service::Settings&) override {}
   std::size_t TasksInProgress() override { return 0; }
 
   void Stop() override
--- a/dogwooddrum/daemon/Host.h
+++ b/dogwooddrum/daemon/Host.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "dogwooddrum/base/Outcome.h"
+#include "dogwooddrum/daemon/Adapters.h"
 #include "dogwooddrum/service/Metrics.h"
 #include "dogwooddrum/service/Settings.h"
 #include "dogwooddrum/transport/HttpServer.h"
@@ -25,6 +26,7 @@
   transport::Network* mNetwork = nullptr;
   service::Metrics* mMetrics = nullptr;
   transport::LinkCounters* mCounters = nullptr;
+  const Adapters* mAdapters = nullptr;
 };
 
 /**
@@ -54,6 +56,8 @@
   virtual bool MayAbandon() = 0;
   /** Returns the number of tasks in progress, for the log. */
   virtual std::size_t TasksInProgress() = 0;
+  /** The settings file has changed. */
+  virtual void Reload(const service::Settings& aSettings) = 0;
   /** Ends the role's threads and links. */
   virtual void Stop() = 0;
 };
@@ -64,6 +68,13 @@
 MakeControlHost(HostContext& aContext);
 std::unique_ptr<Host>
 MakeAgentHost(HostContext& aContext);
+/** Entry for workloads. Precondition: a frontend address is set. */
+std::unique_ptr<Host>
+MakeGatewayHost(HostContext& aContext);
+/** Agent of a target that announces itself. Precondition: an announce address
+ * is set. */
+std::unique_ptr<Host>
+MakeWorkerHost(HostContext& aContext);
 
 /** Returns the link options of this process. */
 transport::LinkOptions
--- a/dogwooddrum/daemon/Notices.cpp
+++ b/dogwooddrum/daemon/Notices.cpp
@@ -2,6 +2,8 @@
 
 #include "dogwooddrum/service/LogEvents.h"
 
+#include <array>
+
 namespace dogwooddrum::daemon {
 
 namespace {
@@ -87,4 +89,47 @@
                  { "wait_ms", base::ToMilliseconds(aNotice.mDuration) } });
 }
 
+void
+Report(const coordination::workloads::Note& aNote, service::Metrics& aMetrics)
+{
+  using Kind = coordination::workloads::Note::Kind;
+  struct Row
+  {
+    Kind mKind;
+    LogEvent mEvent;
+    std::optional<Counter> mCounter;
+  };
+  static constexpr std::array<Row, 12> kRows{ {
+    { Kind::Accepted, LogEvent::WorkloadAccepted, Counter::RequestsAccepted },
+    { Kind::Rejected, LogEvent::WorkloadRejected, std::nullopt },
+    { Kind::Cancelled, LogEvent::WorkloadCancelled, Counter::JobsCancelled },
+    { Kind::RunStarted, LogEvent::RunStarted, Counter::TasksStarted },
+    { Kind::RunStopped, LogEvent::RunStopped, Counter::Preemptions },
+    { Kind::RunEnded, LogEvent::RunEnded, Counter::TasksFinished },
+    { Kind::WorkloadEnded, LogEvent::WorkloadEnded, Counter::JobsFinished },
+    { Kind::WorkerJoined, LogEvent::WorkerJoined, std::nullopt },
+    { Kind::WorkerLeft, LogEvent::WorkerLeft, std::nullopt },
+    { Kind::WorkerLost, LogEvent::WorkerLeaseEnded, Counter::WorkersLost },
+    { Kind::WorkerSuspected,
+      LogEvent::WorkerSuspected,
+      Counter::WorkersQuarantined },
+    { Kind::CatalogAdopted,
+      LogEvent::CatalogAdopted,
+      Counter::ConfigurationChanges },
+  } };
+  for (const Row& row : kRows) {
+    if (row.mKind != aNote.mKind) {
+      continue;
+    }
+    if (row.mCounter) {
+      aMetrics.Add(*row.mCounter);
+    }
+    std::vector<service::LogField> fields;
+    for (const auto& [name, value] : aNote.mFields) {
+      fields.emplace_back(name, value);
+    }
+    service::Log(row.mEvent, fields);
+  }
+}
+
 } // namespace dogwooddrum::daemon
--- a/dogwooddrum/daemon/Notices.h
+++ b/dogwooddrum/daemon/Notices.h
@@ -14,4 +14,8 @@
 Report(const coordination::control::Notice& aNotice,
        service::Metrics& aMetrics);
 
+/** Counts and logs a note of the workload scheduler. Thread safe. */
+void
+Report(const coordination::workloads::Note& aNote, service::Metrics& aMetrics);
+
 } // namespace dogwooddrum::daemon
--- /dev/null
+++ b/dogwooddrum/daemon/OperatorPort.cpp
@@ -0,0 +1,139 @@
+#include "dogwooddrum/daemon/OperatorPort.h"
+
+#include "dogwooddrum/daemon/Clock.h"
+
+namespace dogwooddrum::daemon {
+
+namespace {
+
+/** Operators turn to another member after a second without an answer. */
+constexpr base::Duration kCallLimit = base::Milliseconds(3000);
+/** One log entry holds a catalog twice: as sent, and decoded. */
+constexpr std::uint64_t kMaxBodyBytes = 400U << 10;
+
+} // namespace
+
+OperatorPort::OperatorPort(transport::Network& aNetwork,
+                           const OperatorProtocol& aProtocol,
+                           EventLoop& aLoop)
+  : mNetwork(aNetwork)
+  , mProtocol(aProtocol)
+  , mLoop(aLoop)
+{
+}
+
+base::Outcome<bool>
+OperatorPort::Listen(const transport::Address& aAddress, ControlCore& aCore)
+{
+  mCore = &aCore;
+  mPort = aAddress.mPort;
+  transport::HttpServerOptions options;
+  options.mMaxBodyBytes = kMaxBodyBytes;
+  auto server = transport::HttpServer::Listen(
+    mNetwork,
+    aAddress,
+    options,
+    [this](const transport::ServerRequest& aRequest,
+           const transport::ServerResponder& aResponder) {
+      Handle(aRequest, aResponder);
+    });
+  if (!server) {
+    return server.LastFailure();
+  }
+  mServer = std::move(*server);
+  return true;
+}
+
+void
+OperatorPort::Handle(const transport::ServerRequest& aRequest,
+                     const transport::ServerResponder& aResponder)
+{
+  auto call = mProtocol.Decode(aRequest);
+  if (auto* response = std::get_if<transport::ServerResponse>(&call)) {
+    aResponder(std::move(*response));
+    return;
+  }
+  protocol::WorkloadRequestBody body;
+  if (auto* replace = std::get_if<protocol::ReplaceCatalog>(&call)) {
+    body = std::move(*replace);
+  } else {
+    body = std::get<protocol::ReadCatalog>(call);
+  }
+  mLoop.Post([this, aRequest, body = std::move(body), aResponder] {
+    Pass(aRequest, body, aResponder);
+  });
+}
+
+void
+OperatorPort::Pass(const transport::ServerRequest& aRequest,
+                   protocol::WorkloadRequestBody aBody,
+                   const transport::ServerResponder& aResponder)
+{
+  if (!mCore->Status().mLeads) {
+    const auto leader =
+      transport::ParseAddress(mCore->Decisions().LeaderAddress());
+    aResponder(leader ? mProtocol.Redirect({ leader->mHost, mPort }, aRequest)
+                      : mProtocol.Unavailable());
+    return;
+  }
+  protocol::WorkloadRequest request;
+  request.mId = base::RequestId(++mLastCall);
+  request.mBody = std::move(aBody);
+  mCalls[request.mId] = { aResponder, Now() + kCallLimit };
+  mCore->Decisions().OnWorkloadRequest(
+    coordination::control::SessionId(kOperatorSession), request, Now());
+}
+
+void
+OperatorPort::OnReply(const protocol::WorkloadReply& aReply)
+{
+  const auto it = mCalls.find(aReply.mId);
+  if (it != mCalls.end()) {
+    it->second.mRespond(mProtocol.Render(aReply));
+    mCalls.erase(it);
+  }
+}
+
+void
+OperatorPort::OnLeadershipLost()
+{
+  for (const auto& [id, call] : mCalls) {
+    call.mRespond(mProtocol.Unavailable());
+  }
+  mCalls.clear();
+}
+
+void
+OperatorPort::Tick(base::Time aNow)
+{
+  for (auto it = mCalls.begin(); it != mCalls.end();) {
+    if (it->second.mDeadline <= aNow) {
+      it->second.mRespond(mProtocol.Unavailable());
+      it = mCalls.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void
+OperatorPort::Drain()
+{
+  if (mServer) {
+    mServer->Drain();
+  }
+}
+
+std::size_t
+OperatorPort::InProgress() const
+{
+  return mServer ? mServer->RequestsInProgress() : 0;
+}
+
+void
+OperatorPort::Stop()
+{
+  mServer.reset();
+}
+
+} // namespace dogwooddrum::daemon
--- /dev/null
+++ b/dogwooddrum/daemon/WorkerHost.cpp
@@ -0,0 +1,516 @@
+#include "dogwooddrum/coordination/workloads/Scheduler.h"
+#include "dogwooddrum/coordination/workloads/WorkerAgent.h"
+#include "dogwooddrum/daemon/Clock.h"
+#include "dogwooddrum/daemon/ControlLinks.h"
+#include "dogwooddrum/daemon/EventLoop.h"
+#include "dogwooddrum/daemon/Host.h"
+#include "dogwooddrum/protocol/Codec.h"
+#include "dogwooddrum/service/LogEvents.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace dogwooddrum::daemon {
+
+namespace {
+
+using coordination::workloads::OrderCall;
+using coordination::workloads::OrderOutcome;
+using coordination::workloads::Renewal;
+using coordination::workloads::WorkerAgent;
+using coordination::workloads::WorkerAgentOptions;
+using protocol::MessageType;
+using service::LogEvent;
+
+/** Bounds how late an order's retry is. */
+constexpr base::Duration kTick = base::Milliseconds(100);
+/** Reports keep leases; the lease outlasts several lost ones. */
+constexpr base::Duration kReportInterval = base::Milliseconds(500);
+/** How long a target holds a renewal back until a run ends. */
+constexpr base::Duration kHoldWait = base::Milliseconds(400);
+/** The target is on the same VM and answers within milliseconds. */
+constexpr base::Duration kCallTimeout = base::Milliseconds(400);
+/** Pause after a renewal that failed or returned early. */
+constexpr base::Duration kHoldPause = base::Milliseconds(20);
+constexpr base::Duration kHoldRetry = base::Milliseconds(100);
+
+OrderOutcome
+OutcomeOf(OrderResult aResult)
+{
+  switch (aResult) {
+    case OrderResult::Done:
+      return OrderOutcome::Done;
+    case OrderResult::Superseded:
+    case OrderResult::Refused:
+      return OrderOutcome::Rejected;
+    case OrderResult::StaleToken:
+    case OrderResult::TooLate:
+    case OrderResult::OtherLife:
+    case OrderResult::NotSent:
+      return OrderOutcome::Later;
+    case OrderResult::NoAnswer:
+      break;
+  }
+  return OrderOutcome::Unknown;
+}
+
+const char*
+ToString(OrderResult aResult)
+{
+  switch (aResult) {
+    case OrderResult::Done:
+      return "done";
+    case OrderResult::StaleToken:
+      return "stale_token";
+    case OrderResult::Superseded:
+      return "superseded";
+    case OrderResult::TooLate:
+      return "too_late";
+    case OrderResult::Refused:
+      return "refused";
+    case OrderResult::OtherLife:
+      return "other_life";
+    case OrderResult::NoAnswer:
+      return "no_answer";
+    case OrderResult::NotSent:
+      break;
+  }
+  return "not_sent";
+}
+
+base::Incarnation
+DrawIncarnation()
+{
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> draw(1);
+  return base::Incarnation(draw(device));
+}
+
+/** A thread that makes blocking calls to the target, one at a time. */
+class CallThread
+{
+public:
+  /** Makes the call that aStep finds, and returns the pause before the next
+   * one; Wake ends the pause early. */
+  using Step = std::function<base::Duration(transport::HttpClient*)>;
+
+  explicit CallThread(Step aStep)
+    : mStep(std::move(aStep))
+  {
+  }
+  ~CallThread() { Stop(); }
+
+  void Start()
+  {
+    mThread = std::thread([this] { Run(); });
+  }
+
+  /** Uses aAddress from the next call on. Thread safe. */
+  void SetAddress(const transport::Address& aAddress)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mAddress = aAddress;
+    mChanged = true;
+    mWoken = true;
+    mWake.notify_one();
+  }
+
+  void Wake()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mWoken = true;
+    mWake.notify_one();
+  }
+
+  void Stop()
+  {
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      mStopped = true;
+      mWake.notify_one();
+    }
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+  }
+
+private:
+  void Run()
+  {
+    std::unique_ptr<transport::HttpClient> client;
+    base::Duration pause{};
+    while (true) {
+      {
+        std::unique_lock<std::mutex> lock(mMutex);
+        mWake.wait_for(lock, pause, [this] { return mWoken || mStopped; });
+        if (mStopped) {
+          return;
+        }
+        mWoken = false;
+        if (mChanged) {
+          mChanged = false;
+          transport::HttpClientOptions options;
+          options.mIp = mAddress.mHost;
+          options.mPort = mAddress.mPort;
+          client = std::make_unique<transport::HttpClient>(options);
+        }
+      }
+      pause = mStep(client.get());
+    }
+  }
+
+  const Step mStep;
+  std::mutex mMutex; ///< guards the members below
+  std::condition_variable mWake;
+  transport::Address mAddress;
+  bool mChanged = false;
+  bool mWoken = false;
+  bool mStopped = false;
+  std::thread mThread;
+};
+
+/** Hosts a WorkerAgent: one thread renews leases, one sends orders. */
+class WorkerHost final : public Host
+{
+public:
+  explicit WorkerHost(HostContext& aContext)
+    : mContext(aContext)
+    , mSettings(aContext.mSettings.mAgent)
+    , mProtocol(*aContext.mAdapters->mTargets)
+    , mAgent(MakeOptions(aContext))
+    , mLoop(kTick, { [this](base::Time aNow) { Tick(aNow); }, [] {} })
+    , mHolds([this](transport::HttpClient* aClient) { return Hold(aClient); })
+    , mOrders([this](transport::HttpClient* aClient) { return Order(aClient); })
+  {
+  }
+  ~WorkerHost() override { Stop(); }
+
+  base::Outcome<bool> Start() override
+  {
+    std::vector<transport::Address> controls;
+    for (const auto& address : mSettings.mControlAddresses) {
+      controls.push_back(LinkAddress(address));
+    }
+    ControlLinksEvents events;
+    events.mRoute = [this](Route) {
+      mLoop.Post([this] { SendReport(Now()); });
+    };
+    events.mFrame = [this](Route aRoute, const protocol::Frame& aFrame) {
+      OnFrame(aRoute, aFrame);
+    };
+    mLinks = std::make_unique<ControlLinks>(
+      *mContext.mNetwork,
+      controls,
+      MakeLinkOptions(
+        mContext, transport::PeerRole::Agent, mIncarnation.Value()),
+      events,
+      *mContext.mCounters);
+    auto server = transport::HttpServer::Listen(
+      *mContext.mNetwork,
+      ToTransport(*mSettings.mAnnounceAddress),
+      {},
+      [this](const transport::ServerRequest& aRequest,
+             const transport::ServerResponder& aResponder) {
+        OnTargetMessage(aRequest, aResponder);
+      });
+    if (!server) {
+      return server.LastFailure();
+    }
+    mServer = std::move(*server);
+    mLoop.Start();
+    mHolds.Start();
+    mOrders.Start();
+    mLinks->Start();
+    return true;
+  }
+
+  bool Ready() override { return mHasOrders; }
+  void UpdateMetrics() override
+  {
+    mContext.mMetrics->Set(service::Gauge::HeldTasks,
+                           static_cast<double>(mRunning.load()));
+  }
+  bool Handle(transport::ServerRequest&,
+              const transport::ServerResponder&) override
+  {
+    return false;
+  }
+  void BeginDrain() override {}
+  void CloseListeners() override { mServer->Drain(); }
+  bool Drained() override { return mServer->RequestsInProgress() == 0; }
+  bool MayAbandon() override { return true; }
+  std::size_t TasksInProgress() override { return mRunning; }
+
+  void Reload(const service::Settings& aSettings) override
+  {
+    std::vector<std::string> addresses;
+    for (const auto& address : aSettings.mAgent.mControlAddresses) {
+      const auto link = LinkAddress(address);
+      addresses.push_back(link.mHost + ":" + std::to_string(link.mPort));
+    }
+    mLinks->Learn(addresses);
+  }
+
+  void Stop() override
+  {
+    mServer.reset();
+    if (mLinks) {
+      mLinks->Stop();
+    }
+    mHolds.Stop();
+    mOrders.Stop();
+    mLoop.Stop();
+  }
+
+private:
+  WorkerAgentOptions MakeOptions(const HostContext& aContext) const
+  {
+    WorkerAgentOptions options;
+    options.mIncarnation = mIncarnation;
+    options.mName = aContext.mSettings.mCommon.mName;
+    return options;
+  }
+
+  transport::Address LinkAddress(const service::Address& aAddress) const
+  {
+    const auto port = mSettings.mControlLinkPort;
+    return { aAddress.mIp, port == 0 ? aAddress.mPort : port };
+  }
+
+  // The target's own messages.
+
+  void OnTargetMessage(const transport::ServerRequest& aRequest,
+                       const transport::ServerResponder& aResponder)
+  {
+    const auto decoded = mProtocol.Decode(aRequest);
+    if (!decoded) {
+      service::Log(LogEvent::TargetMessageRejected,
+                   { { "message", decoded.LastFailure().mMessage } });
+      aResponder(mProtocol.Reject(decoded.LastFailure()));
+      return;
+    }
+    // Acknowledged only after the agent knows, so that a leaving target gets
+    // no start afterwards.
+    mLoop.Post([this, announced = *decoded, aResponder] {
+      OnAnnounced(announced);
+      aResponder(mProtocol.Acknowledge());
+    });
+  }
+
+  void OnAnnounced(const Announcement& aAnnounced)
+  {
+    bool changed = true;
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (aAnnounced.mLeft) {
+      mAgent.OnLeft(aAnnounced.mFacts.mLife.mInstance);
+    } else {
+      changed = mAgent.OnAnnounced(aAnnounced.mFacts, aAnnounced.mSequence);
+    }
+    if (!changed) {
+      return;
+    }
+    const char* state = "ready";
+    if (aAnnounced.mLeft) {
+      state = "gone";
+    } else if (aAnnounced.mFacts.mLeaving) {
+      state = "leaving";
+    }
+    service::Log(LogEvent::TargetAnnounced,
+                 { { "target", aAnnounced.mFacts.mLife.mInstance },
+                   { "address",
+                     aAnnounced.mAddress.mHost + ":" +
+                       std::to_string(aAnnounced.mAddress.mPort) },
+                   { "state", state } });
+    if (!aAnnounced.mLeft) {
+      mHolds.SetAddress(aAnnounced.mAddress);
+      mOrders.SetAddress(aAnnounced.mAddress);
+    }
+    SendReportLocked(Now());
+  }
+
+  // Links.
+
+  void OnFrame(Route aRoute, const protocol::Frame& aFrame)
+  {
+    if (aFrame.mType == MessageType::WorkerOrders) {
+      auto orders = protocol::Decode<protocol::WorkerOrders>(aFrame.mPayload);
+      if (orders) {
+        mLinks->OnLeader(aRoute);
+        mLinks->Learn(orders->mMembers);
+        mLoop.Post([this, received = std::move(*orders)] {
+          const std::lock_guard<std::mutex> lock(mMutex);
+          mAgent.OnOrders(received, Now());
+          mHasOrders = true;
+          mOrders.Wake();
+        });
+        return;
+      }
+    } else if (aFrame.mType == MessageType::NotLeader) {
+      const auto reply = protocol::Decode<protocol::NotLeader>(aFrame.mPayload);
+      if (reply) {
+        mLinks->OnNotLeader(aRoute, *reply);
+        return;
+      }
+    }
+    service::Log(
+      LogEvent::FrameRejected,
+      { { "peer", "control" },
+        { "message",
+          "type " + std::to_string(static_cast<unsigned>(aFrame.mType)) } });
+  }
+
+  void SendReport(base::Time aNow)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    SendReportLocked(aNow);
+  }
+
+  void SendReportLocked(base::Time aNow)
+  {
+    mNextReport = aNow + kReportInterval;
+    const auto report = mAgent.MakeReport(aNow);
+    mLinks->Send(MessageType::WorkerReport, protocol::Encode(report));
+  }
+
+  void Tick(base::Time aNow)
+  {
+    bool wake = false;
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      if (aNow >= mNextReport) {
+        SendReportLocked(aNow);
+      }
+      const auto next = mAgent.NextOrderAt();
+      wake = next && *next <= aNow;
+    }
+    if (wake) {
+      mOrders.Wake();
+    }
+  }
+
+  // Calls to the target.
+
+  base::Duration Hold(transport::HttpClient* aClient)
+  {
+    const auto begin = Now();
+    std::optional<Renewal> renewal;
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      renewal = mAgent.NextRenewal(begin);
+    }
+    if (!renewal || aClient == nullptr) {
+      return kHoldRetry;
+    }
+    HoldCall call;
+    call.mTerm = renewal->mTerm;
+    call.mAcknowledged = renewal->mAcknowledged;
+    call.mLeaseUntilMs = renewal->mLeaseUntilMs;
+    // Without a lease the target's clock is not known yet.
+    call.mWait = call.mLeaseUntilMs ? kHoldWait : base::Duration::zero();
+    const auto outcome = aClient->Call(
+      mProtocol.EncodeHold(call, renewal->mLife), kCallTimeout + call.mWait);
+    auto listing = mProtocol.DecodeHold(outcome, renewal->mLife);
+    const auto now = Now();
+    if (!listing) {
+      service::Log(LogEvent::ListingFailed,
+                   { { "message", listing.LastFailure().mMessage } });
+      return kHoldRetry;
+    }
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const auto changed = Changed(*listing);
+    mRunning = listing->mRunning.size();
+    mAgent.OnListing(renewal->mLife,
+                     listing->mClockMs,
+                     std::move(listing->mRunning),
+                     std::move(listing->mEnded),
+                     begin,
+                     now);
+    if (changed || now >= mNextReport) {
+      SendReportLocked(now);
+    }
+    mOrders.Wake();
+    return now - begin < kHoldPause ? kHoldPause : base::Duration::zero();
+  }
+
+  /** Returns whether the runs differ from those of the listing before. */
+  bool Changed(const Listing& aListing)
+  {
+    std::vector<protocol::RunId> runs;
+    for (const auto& running : aListing.mRunning) {
+      runs.push_back(running.mRun);
+    }
+    for (const auto& ended : aListing.mEnded) {
+      runs.push_back(ended.mRun);
+    }
+    const bool changed = runs != mLastRuns;
+    mLastRuns = std::move(runs);
+    return changed;
+  }
+
+  base::Duration Order(transport::HttpClient* aClient)
+  {
+    std::optional<OrderCall> call;
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      if (aClient != nullptr) {
+        call = mAgent.NextOrder(Now());
+      }
+    }
+    if (!call) {
+      return base::Milliseconds(60000); // until it is woken
+    }
+    const auto request =
+      call->mIsStart
+        ? mProtocol.EncodeStart(
+            call->mStart, call->mTerm, call->mLeaseUntilMs, call->mLife)
+        : mProtocol.EncodeStop(call->mStart.mRun, call->mTerm, call->mLife);
+    const auto answer =
+      mProtocol.DecodeOrder(aClient->Call(request, kCallTimeout));
+    LogOrder(*call, answer);
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mAgent.OnAnswered(*call, OutcomeOf(answer.mResult), answer.mMessage, Now());
+    return base::Duration::zero();
+  }
+
+  static void LogOrder(const OrderCall& aCall, const OrderAnswer& aAnswer)
+  {
+    const auto& run = aCall.mStart.mRun;
+    service::Log(aAnswer.mResult == OrderResult::Done ? LogEvent::OrderSent
+                                                      : LogEvent::OrderFailed,
+                 { { "order", aCall.mIsStart ? "start" : "stop" },
+                   { "task", coordination::workloads::ToString(run.mTask) },
+                   { "run", run.mRun.Value() },
+                   { "term", aCall.mTerm.Value() },
+                   { "result", ToString(aAnswer.mResult) },
+                   { "message", aAnswer.mMessage } });
+  }
+
+  HostContext& mContext;
+  const service::AgentSettings& mSettings;
+  const TargetProtocol& mProtocol;
+  const base::Incarnation mIncarnation = DrawIncarnation();
+  std::mutex mMutex; ///< guards mAgent, mNextReport and mLastRuns
+  WorkerAgent mAgent;
+  base::Time mNextReport{};
+  std::vector<protocol::RunId> mLastRuns;
+  std::unique_ptr<ControlLinks> mLinks;
+  std::unique_ptr<transport::HttpServer> mServer;
+  EventLoop mLoop;
+  CallThread mHolds;
+  CallThread mOrders;
+  std::atomic<bool> mHasOrders{ false };
+  std::atomic<std::size_t> mRunning{ 0 };
+};
+
+} // namespace
+
+std::unique_ptr<Host>
+MakeWorkerHost(HostContext& aContext)
+{
+  return std::make_unique<WorkerHost>(aContext);
+}
+
+} // namespace dogwooddrum::daemon
--- a/dogwooddrum/daemon/main/Main.cpp
+++ b/dogwooddrum/daemon/main/Main.cpp
@@ -1,6 +1,7 @@
 // dogwooddrumd: one daemon of the role named in its settings file.
 #include "dogwooddrum/daemon/Daemon.h"
 #include "dogwooddrum/service/Settings.h"
+#include "platform/Platform.h"
 
 #include <popt.h>
 
@@ -74,5 +75,6 @@
     return CheckSettings(settingsFile);
   }
   return found != 0 ? dogwooddrum::daemon::FoundGroup(settingsFile)
-                    : dogwooddrum::daemon::RunDaemon(settingsFile);
+                    : dogwooddrum::daemon::RunDaemon(
+                        settingsFile, dogwooddrum::platform::MakeAdapters());
 }
--- a/dogwooddrum/protocol/MessageType.h
+++ b/dogwooddrum/protocol/MessageType.h
@@ -24,9 +24,15 @@
   AnswerChunk = 24,
   AnswerAck = 25,
   NotLeader = 26, ///< reply to an agent or a poll that reached a follower
+  WorkloadRequest = 14,
+  WorkloadReply = 15,
+  WorkerReport = 27,
+  WorkerOrders = 28,
   Consensus = 30,
   MemberQuery = 31,  ///< base::MemberId: is it a voter of your group?
   MemberAnswer = 32, ///< one byte: 1 if it is
+  JoinRequest = 33,  ///< a process asks to become a member
+  JoinReply = 34,    ///< consensus::Membership, to open links to its members
 };
 
 } // namespace dogwooddrum::protocol
--- /dev/null
+++ b/dogwooddrum/protocol/Workload.cpp
@@ -0,0 +1,143 @@
+#include "dogwooddrum/protocol/Workload.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace dogwooddrum::protocol {
+
+namespace {
+
+/** Most tasks of one workload; bounds the size of one log entry. */
+constexpr std::uint64_t kMaxTasks = 5000;
+
+bool
+StartsWith(const std::string& aText, const std::string& aPrefix)
+{
+  return aText.compare(0, aPrefix.size(), aPrefix) == 0;
+}
+
+std::string
+CheckQueues(const Catalog& aCatalog)
+{
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Queue& queue : aCatalog.mQueues) {
+    const std::string name = "queue " + queue.mName.Value();
+    if (std::none_of(
+          aCatalog.mPools.begin(),
+          aCatalog.mPools.end(),
+          [&](const Pool& aPool) { return aPool.mName == queue.mPool; })) {
+      return name + " names the unknown pool " + queue.mPool.Value();
+    }
+    if (queue.mTimeoutMs == 0) {
+      return name + " has a timeout of 0 ms";
+    }
+    if (!places.emplace(queue.mHost, queue.mPathPrefix).second) {
+      return name +
+             " has the host and prefix of another queue: " + queue.mHost +
+             queue.mPathPrefix;
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+const Queue*
+FindQueue(const Catalog& aCatalog,
+          const std::string& aHost,
+          const std::string& aPath)
+{
+  const Queue* best = nullptr;
+  for (const Queue& queue : aCatalog.mQueues) {
+    if (queue.mHost == aHost && StartsWith(aPath, queue.mPathPrefix) &&
+        (best == nullptr ||
+         queue.mPathPrefix.size() > best->mPathPrefix.size())) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+const Queue*
+FindQueue(const Catalog& aCatalog, const QueueName& aName)
+{
+  const auto it =
+    std::find_if(aCatalog.mQueues.begin(),
+                 aCatalog.mQueues.end(),
+                 [&](const Queue& aQueue) { return aQueue.mName == aName; });
+  return it == aCatalog.mQueues.end() ? nullptr : &*it;
+}
+
+const CatalogAccount*
+FindAccountByKey(const Catalog& aCatalog, const std::string& aKey)
+{
+  for (const CatalogAccount& account : aCatalog.mAccounts) {
+    const auto& keys = account.mKeys;
+    if (std::find(keys.begin(), keys.end(), aKey) != keys.end()) {
+      return &account;
+    }
+  }
+  return nullptr;
+}
+
+const CatalogAccount*
+FindCatalogAccount(const Catalog& aCatalog, const base::AccountId& aName)
+{
+  const auto it = std::find_if(
+    aCatalog.mAccounts.begin(),
+    aCatalog.mAccounts.end(),
+    [&](const CatalogAccount& aAccount) { return aAccount.mName == aName; });
+  return it == aCatalog.mAccounts.end() ? nullptr : &*it;
+}
+
+std::string
+CheckCatalog(const Catalog& aCatalog)
+{
+  if (aCatalog.mVersion.Value() == 0) {
+    return "version 0 is not allowed";
+  }
+  if (auto problem = CheckQueues(aCatalog); !problem.empty()) {
+    return problem;
+  }
+  std::map<std::string, base::AccountId> owners;
+  for (const CatalogAccount& account : aCatalog.mAccounts) {
+    for (const std::string& key : account.mKeys) {
+      const auto [it, isNew] = owners.emplace(key, account.mName);
+      if (!isNew && it->second != account.mName) {
+        return "accounts " + it->second.Value() + " and " +
+               account.mName.Value() + " share a key";
+      }
+    }
+  }
+  return {};
+}
+
+std::string
+CheckWorkload(const WorkloadSpec& aSpec)
+{
+  if (aSpec.mSteps.empty()) {
+    return "a workload needs a step";
+  }
+  std::uint64_t tasks = 0;
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    const WorkloadStep& step = aSpec.mSteps[i];
+    tasks += step.mCount;
+    if (step.mCount == 0) {
+      return "step " + std::to_string(i) + " has no task";
+    }
+    for (const std::uint32_t earlier : step.mDependsOn) {
+      if (earlier >= i) {
+        return "step " + std::to_string(i) + " depends on step " +
+               std::to_string(earlier) + ", which is not an earlier one";
+      }
+    }
+  }
+  if (tasks > kMaxTasks) {
+    return std::to_string(tasks) + " tasks, more than " +
+           std::to_string(kMaxTasks);
+  }
+  return {};
+}
+
+} // namespace dogwooddrum::protocol
--- /dev/null
+++ b/dogwooddrum/protocol/WorkloadMessages.cpp
@@ -0,0 +1,43 @@
+#include "dogwooddrum/protocol/WorkloadMessages.h"
+
+#include "dogwooddrum/protocol/CodecTemplates.h"
+
+#include <array>
+
+namespace dogwooddrum::protocol {
+
+namespace {
+
+constexpr std::array<const char*, 8> kRunEnds = { "done",      "failed",
+                                                  "stopped",   "lapsed",
+                                                  "broken",    "alone",
+                                                  "never_ran", "target_gone" };
+constexpr std::array<const char*, 5> kPhases = { "queued",
+                                                 "running",
+                                                 "complete",
+                                                 "failed",
+                                                 "cancelled" };
+
+} // namespace
+
+const char*
+ToString(RunEnd aEnd)
+{
+  const auto i = static_cast<std::size_t>(aEnd);
+  return i < kRunEnds.size() ? kRunEnds.at(i) : "invalid";
+}
+
+const char*
+ToString(WorkloadPhase aPhase)
+{
+  const auto i = static_cast<std::size_t>(aPhase);
+  return i < kPhases.size() ? kPhases.at(i) : "invalid";
+}
+
+} // namespace dogwooddrum::protocol
+
+DOGWOODDRUM_CODEC(dogwooddrum::protocol::WorkloadRequest);
+DOGWOODDRUM_CODEC(dogwooddrum::protocol::WorkloadReply);
+DOGWOODDRUM_CODEC(dogwooddrum::protocol::WorkerReport);
+DOGWOODDRUM_CODEC(dogwooddrum::protocol::WorkerOrders);
+DOGWOODDRUM_CODEC(dogwooddrum::protocol::JoinRequest);
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -34,6 +34,8 @@
   Stopped = 105,
   ShutdownLimitReached = 106,
   StartRefused = 107,
+  Reloaded = 108,
+  ReloadFailed = 109,
   // Links and requests.
   LinkUp = 200,
   LinkDown = 201,
@@ -70,6 +72,26 @@
   TaskFailed = 505,
   TaskRefused = 506,
   AgentResumed = 507,
+  TargetAnnounced = 508,
+  TargetMessageRejected = 509,
+  OrderSent = 510,
+  OrderFailed = 511,
+  ListingFailed = 512,
+  // Workloads.
+  WorkloadAccepted = 600,
+  WorkloadRejected = 601,
+  WorkloadCancelled = 602,
+  RunStarted = 603,
+  RunStopped = 604,
+  RunEnded = 605,
+  WorkloadEnded = 606,
+  WorkerJoined = 607,
+  WorkerLeft = 608,
+  WorkerLeaseEnded = 609,
+  WorkerSuspected = 610,
+  CatalogAdopted = 611,
+  CallAnswered = 612,
+  CatalogReceived = 613,
 };
 
 /** What is fixed for one event. */
--- a/dogwooddrum/service/Settings.cpp
+++ b/dogwooddrum/service/Settings.cpp
@@ -103,6 +103,14 @@
     }
     return static_cast<bool>(address);
   }
+  bool operator()(Field<std::optional<Address>> aField) const
+  {
+    const auto address = ParseAddress(mText);
+    if (address) {
+      aField(mSettings) = *address;
+    }
+    return static_cast<bool>(address);
+  }
   bool operator()(Field<std::vector<Address>> aField) const
   {
     for (const std::string& part : SplitList(mText)) {
@@ -262,6 +270,56 @@
   return std::nullopt;
 }
 
+/** Returns a failure for a key that is required because of other settings. */
+std::optional<base::Failure>
+FindMissing(const Settings& aSettings,
+            const Tree& aTree,
+            const std::string& aFile)
+{
+  const auto missing = [&](std::string_view aSection, std::string_view aKey) {
+    for (const SettingsKey& key : SettingsKeys()) {
+      if (key.mSection == aSection && key.mKey == aKey) {
+        return std::make_optional(
+          Invalid(aFile,
+                  aSection,
+                  aKey,
+                  "",
+                  AllowedValues(key) + "; the key is required"));
+      }
+    }
+    return std::optional<base::Failure>();
+  };
+  const CommonSettings& common = aSettings.mCommon;
+  if (common.mKeyFile.empty() && common.mKey.empty()) {
+    return missing("common", "key_file");
+  }
+  const ControlSettings& control = aSettings.mControl;
+  if (common.mRole == Role::Control && control.mSeeds.empty()) {
+    if (control.mMemberId.Value() == 0) {
+      return missing("control", "member_id");
+    }
+    if (control.mPeers.empty()) {
+      return missing("control", "peers");
+    }
+  }
+  const AgentSettings& agent = aSettings.mAgent;
+  if (common.mRole == Role::Agent && !agent.mAnnounceAddress) {
+    if (agent.mWorker.Value().empty()) {
+      return missing("agent", "worker");
+    }
+    if (agent.mRack.Value().empty()) {
+      return missing("agent", "rack");
+    }
+    if (!aTree.get_optional<std::string>("agent.accelerators")) {
+      return missing("agent", "accelerators");
+    }
+    if (agent.mTargetAddress.mPort == 0) {
+      return missing("agent", "target_address");
+    }
+  }
+  return std::nullopt;
+}
+
 /** Returns a failure if two settings that are valid alone are at odds. */
 std::optional<base::Failure>
 FindConflict(const Settings& aSettings,
@@ -296,6 +354,9 @@
       aFile, "common", "link_port", link, "another port than http_port");
   }
   const ControlSettings& control = aSettings.mControl;
+  if (!control.mSeeds.empty()) {
+    return std::nullopt;
+  }
   const auto self = std::find_if(
     control.mPeers.begin(), control.mPeers.end(), [&](const Peer& aPeer) {
       return aPeer.mId == control.mMemberId;
@@ -389,6 +450,9 @@
     const bool missing = tree.count(std::string(ToString(role))) == 0;
     return missing && conflict ? *conflict : *failure;
   }
+  if (const auto missing = FindMissing(settings, tree, aFile)) {
+    return *missing;
+  }
   if (const auto conflict = FindConflict(settings, tree, aFile)) {
     return *conflict;
   }
--- a/dogwooddrum/service/Settings.h
+++ b/dogwooddrum/service/Settings.h
@@ -9,6 +9,7 @@
 #include "dogwooddrum/base/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,6 +64,7 @@
   std::uint16_t mHttpPort = 0;
   std::uint16_t mLinkPort = 0; ///< control only; 0 for the other roles
   std::string mKeyFile;
+  std::string mKey; ///< used instead of a key file if it is not empty
   std::string mOperatorKeyFile; ///< empty: operator requests are refused
   std::string mLogLevel;
   std::string mLogFile; ///< empty: standard error
@@ -80,6 +82,11 @@
   std::uint32_t mConnections = 0; ///< open connections of callers
   std::uint32_t mRetryBudgetPercent = 0;
   base::Duration mRequestTimeout{};
+  std::uint16_t mControlLinkPort = 0; ///< 0: as in the addresses
+  std::optional<Address> mFrontendAddress;
+  std::optional<Address> mReadinessAddress;
+  base::Duration mCatalogAge{};
+  base::Duration mCatalogPoll{};
 };
 
 /** Section [control]. */
@@ -100,6 +107,11 @@
   std::uint32_t mInteractiveBorrowPercent = 0;
   std::uint32_t mFailuresToQuarantine = 0;
   base::Duration mQuarantineTime{};
+  std::vector<Address> mSeeds; ///< empty: the group is set up by hand
+  bool mBootstrap = false;
+  std::uint32_t mToleratedLosses = 1;
+  std::optional<Address> mOperatorAddress;
+  base::Duration mTaskLease{};
 };
 
 /** Section [agent]. */
@@ -112,6 +124,9 @@
   std::uint32_t mConnections = 0;
   Address mTargetAddress;
   std::vector<Address> mControlAddresses;
+  std::uint16_t mControlLinkPort = 0; ///< 0: as in the addresses
+  /** Present: the target announces itself here. */
+  std::optional<Address> mAnnounceAddress;
 };
 
 /** All settings of one daemon. Only its role's section is filled. */
--- a/dogwooddrum/service/SettingsKeys.h
+++ b/dogwooddrum/service/SettingsKeys.h
@@ -26,6 +26,7 @@
                               Field<base::WorkerId>,
                               Field<base::RackId>,
                               Field<Address>,
+                              Field<std::optional<Address>>,
                               Field<std::vector<Address>>,
                               Field<std::vector<Peer>>>;
 
--- a/dogwooddrum/service/SettingsReference.cpp
+++ b/dogwooddrum/service/SettingsReference.cpp
@@ -43,6 +43,10 @@
     return "one of entry control agent";
   }
   std::string operator()(Field<Address>) const { return "ip:port"; }
+  std::string operator()(Field<std::optional<Address>>) const
+  {
+    return "ip:port";
+  }
   std::string operator()(Field<std::vector<Address>>) const
   {
     return "1 to " + std::to_string(mKey.mMaximum) +
@@ -65,7 +69,8 @@
 private:
   std::string Text() const
   {
-    return "text of 1 to " + std::to_string(mKey.mMaximum) + " bytes";
+    return "text of " + std::to_string(mKey.mMinimum) + " to " +
+           std::to_string(mKey.mMaximum) + " bytes";
   }
 };
 
--- a/dogwooddrum/transport/HttpServer.cpp
+++ b/dogwooddrum/transport/HttpServer.cpp
@@ -7,7 +7,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <cctype>
 #include <mutex>
 #include <unordered_map>
 
@@ -177,6 +179,14 @@
     request.mMethod = std::string(message.method_string());
     ParseTarget(std::string(message.target()), request);
     request.mAuthorization = std::string(message[http::field::authorization]);
+    for (const auto& field : message) {
+      std::string name(field.name_string());
+      std::transform(
+        name.begin(), name.end(), name.begin(), [](unsigned char aChar) {
+          return static_cast<char>(std::tolower(aChar));
+        });
+      request.mHeaders[name] = std::string(field.value());
+    }
     request.mBody = std::move(message.body());
     Begin();
     mShared->mHandler(std::move(request),
--- a/dogwooddrum/transport/HttpServer.h
+++ b/dogwooddrum/transport/HttpServer.h
@@ -20,10 +20,11 @@
 
 struct ServerRequest
 {
-  std::string mMethod;                       ///< upper case
-  std::string mPath;                         ///< without the query
-  std::map<std::string, std::string> mQuery; ///< percent-decoded
-  std::string mAuthorization;                ///< the header; empty if absent
+  std::string mMethod;                         ///< upper case
+  std::string mPath;                           ///< without the query
+  std::map<std::string, std::string> mQuery;   ///< percent-decoded
+  std::string mAuthorization;                  ///< the header; empty if absent
+  std::map<std::string, std::string> mHeaders; ///< names in lower case
   std::string mBody;
 };
 
