Send catalogs as deltas, and only on request

Cause: entries polled for the catalog every 400 ms and got all of it while theirs was older.

Change: polls carry the version; one fetch at a time brings a delta.

--- a/dogwooddrum/coordination/workloads/Leading.h
+++ b/dogwooddrum/coordination/workloads/Leading.h
@@ -85,6 +85,8 @@
   std::set<WorkloadId> mOccurrenceProposed;
   std::vector<std::pair<protocol::CatalogVersion, Waiter>> mCatalogWaiters;
   protocol::CatalogVersion mProposedVersion;
+  /** Catalogs of this leadership, for deltas, without their sources. */
+  std::map<protocol::CatalogVersion, Catalog> mCatalogs;
 };
 
 inline std::int64_t
--- a/dogwooddrum/coordination/workloads/Requests.cpp
+++ b/dogwooddrum/coordination/workloads/Requests.cpp
@@ -164,9 +164,16 @@
     reply.mResult = WorkloadResult::Found;
     reply.mVersion = catalog.mVersion;
     reply.mMembers = mLeading.mMembers;
-    if (catalog.mVersion > aRequest.mHave) {
+    using Content = protocol::ReadCatalog::Content;
+    if (aRequest.mContent == Content::Whole &&
+        catalog.mVersion != protocol::CatalogVersion()) {
       reply.mCatalog = catalog;
     }
+    if (aRequest.mContent == Content::Delta) {
+      const auto it = mLeading.mCatalogs.find(aRequest.mHave);
+      reply.mDelta = DeltaOf(
+        it == mLeading.mCatalogs.end() ? Catalog() : it->second, catalog);
+    }
     Reply(mLeading, mWaiter, std::move(reply));
   }
 };
--- a/dogwooddrum/coordination/workloads/Scheduler.cpp
+++ b/dogwooddrum/coordination/workloads/Scheduler.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/** An entry that polls several times a second is rarely further behind. */
+constexpr std::size_t kMaxCatalogs = 12;
 constexpr base::Duration kForgetInterval = base::Milliseconds(10000);
 
 /** Calls aDo with each task of the workload. */
@@ -60,6 +62,18 @@
   }
 }
 
+void
+RememberCatalog(Leading& aLeading)
+{
+  const Catalog& current = aLeading.mState->CurrentCatalog();
+  Catalog& copy = aLeading.mCatalogs[current.mVersion];
+  copy = current;
+  copy.mSource.clear();
+  if (aLeading.mCatalogs.size() > kMaxCatalogs) {
+    aLeading.mCatalogs.erase(aLeading.mCatalogs.begin());
+  }
+}
+
 /** Reacts to a committed change on the leader. */
 struct AppliedVisitor
 {
@@ -127,6 +141,7 @@
   void operator()(const Forget&) const {}
   void operator()(const AdoptCatalog& aChange) const
   {
+    RememberCatalog(mLeading);
     Tell(mLeading,
          Note::Kind::CatalogAdopted,
          { { "version", std::to_string(aChange.mCatalog.mVersion.Value()) } });
@@ -176,6 +191,7 @@
   leading.mNow = aNow;
   leading.mLeadingSince = aNow;
   leading.mNextForget = aNow + kForgetInterval;
+  RememberCatalog(leading);
   for (const WorkloadId& id : leading.mState->Active()) {
     const WorkloadRecord* workload = leading.mState->Find(id);
     if (workload == nullptr) {
--- a/dogwooddrum/daemon/GatewayHost.cpp
+++ b/dogwooddrum/daemon/GatewayHost.cpp
@@ -28,6 +28,8 @@
 constexpr base::Duration kLeastPatience = base::Milliseconds(50);
 /** A request without a reply is sent again, as the link may have lost it. */
 constexpr base::Duration kResendAfter = base::Milliseconds(700);
+/** A catalog of 200 KB takes about a second on a link of 2 Mbit/s. */
+constexpr base::Duration kFetchRetry = base::Milliseconds(3000);
 /** Most calls that wait for the leader; bounds memory. */
 constexpr std::size_t kMaxCalls = 4000;
 
@@ -363,6 +365,7 @@
 
   void OnRoute(base::Time aNow)
   {
+    mNextFetch = aNow; // what was under way is lost with the route
     Poll(aNow);
     for (auto& [id, call] : mCalls) {
       Send(call, aNow);
@@ -409,9 +412,23 @@
   void Poll(base::Time aNow)
   {
     mNextPoll = aNow + mSettings.mCatalogPoll;
+    Ask(protocol::ReadCatalog::Content::Version, aNow);
+  }
+
+  /** Fetches the newer catalog, once at a time. */
+  void Fetch(base::Time aNow)
+  {
+    if (aNow >= mNextFetch) {
+      mNextFetch = aNow + kFetchRetry;
+      Ask(protocol::ReadCatalog::Content::Delta, aNow);
+    }
+  }
+
+  void Ask(protocol::ReadCatalog::Content aContent, base::Time aNow)
+  {
     protocol::WorkloadRequest request;
     request.mId = base::RequestId(++mLastCall);
-    request.mBody = protocol::ReadCatalog{ mCatalog.mVersion };
+    request.mBody = protocol::ReadCatalog{ mCatalog.mVersion, aContent };
     if (mLinks->Send(MessageType::WorkloadRequest, protocol::Encode(request)) !=
         0) {
       mPolls[request.mId] = aNow;
@@ -423,19 +440,29 @@
     const auto it = mPolls.find(aReply.mId);
     const auto polledAt = it->second;
     mPolls.erase(it);
+    const auto now = Now();
+    if (aReply.mDelta) {
+      mNextFetch = now;
+    }
     if (aReply.mVersion < mCatalog.mVersion) {
       return;
     }
-    if (aReply.mCatalog) {
-      mCatalog = *aReply.mCatalog;
-      mCatalog.mSource.clear(); // entries do not show it
+    if (aReply.mVersion > mCatalog.mVersion) {
+      const auto next = aReply.mDelta
+                          ? protocol::ApplyDelta(mCatalog, *aReply.mDelta)
+                          : std::nullopt;
+      if (!next) {
+        Fetch(now);
+        return;
+      }
+      mCatalog = *next;
       mVersion = mCatalog.mVersion.Value();
       service::Log(LogEvent::CatalogReceived,
                    { { "version", mVersion.load() } });
     }
     // The leader confirmed its version after the poll had been sent.
     mFreshUntil = std::max(mFreshUntil, polledAt + mSettings.mCatalogAge);
-    mReady = IsFresh(Now());
+    mReady = IsFresh(now);
   }
 
   void Tick(base::Time aNow)
@@ -445,7 +472,7 @@
     }
     mReady = IsFresh(aNow);
     for (auto it = mPolls.begin(); it != mPolls.end();) {
-      const bool late = aNow - it->second > mSettings.mCatalogAge;
+      const bool late = aNow - it->second > kFetchRetry;
       it = late ? mPolls.erase(it) : std::next(it);
     }
     for (auto it = mCalls.begin(); it != mCalls.end();) {
@@ -476,6 +503,7 @@
   protocol::Catalog mCatalog;
   base::Time mFreshUntil{};
   base::Time mNextPoll{};
+  base::Time mNextFetch{}; ///< later than now while one is under way
   std::uint64_t mLastCall = 0;
   std::map<base::RequestId, PendingCall> mCalls;
   std::map<base::RequestId, base::Time> mPolls; ///< by time of sending
--- a/dogwooddrum/protocol/Workload.cpp
+++ b/dogwooddrum/protocol/Workload.cpp
@@ -43,6 +43,62 @@
 
 } // namespace
 
+CatalogDelta
+DeltaOf(const Catalog& aOld, const Catalog& aNew)
+{
+  CatalogDelta delta;
+  delta.mBase = aOld.mVersion;
+  delta.mVersion = aNew.mVersion;
+  delta.mPools = aNew.mPools;
+  delta.mAccounts = aNew.mAccounts;
+  delta.mLimits = aNew.mLimits;
+  std::map<QueueName, const Queue*> old;
+  for (const Queue& queue : aOld.mQueues) {
+    old.emplace(queue.mName, &queue);
+  }
+  for (const Queue& queue : aNew.mQueues) {
+    const auto it = old.find(queue.mName);
+    if (it == old.end() || !(*it->second == queue)) {
+      delta.mQueues.push_back(queue);
+    }
+    if (it != old.end()) {
+      old.erase(it);
+    }
+  }
+  for (const auto& [name, queue] : old) {
+    delta.mRemovedQueues.push_back(name);
+  }
+  return delta;
+}
+
+std::optional<Catalog>
+ApplyDelta(const Catalog& aOld, const CatalogDelta& aDelta)
+{
+  if (aDelta.mBase != CatalogVersion() && aDelta.mBase != aOld.mVersion) {
+    return std::nullopt;
+  }
+  Catalog next;
+  next.mVersion = aDelta.mVersion;
+  next.mPools = aDelta.mPools;
+  next.mAccounts = aDelta.mAccounts;
+  next.mLimits = aDelta.mLimits;
+  std::set<QueueName> replaced(aDelta.mRemovedQueues.begin(),
+                               aDelta.mRemovedQueues.end());
+  for (const Queue& queue : aDelta.mQueues) {
+    replaced.insert(queue.mName);
+  }
+  if (aDelta.mBase != CatalogVersion()) {
+    for (const Queue& queue : aOld.mQueues) {
+      if (replaced.count(queue.mName) == 0) {
+        next.mQueues.push_back(queue);
+      }
+    }
+  }
+  next.mQueues.insert(
+    next.mQueues.end(), aDelta.mQueues.begin(), aDelta.mQueues.end());
+  return next;
+}
+
 const Queue*
 FindQueue(const Catalog& aCatalog,
           const std::string& aHost,
--- a/dogwooddrum/protocol/Workload.h
+++ b/dogwooddrum/protocol/Workload.h
@@ -7,6 +7,7 @@
 #include "dogwooddrum/base/Ids.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -182,6 +183,22 @@
   std::uint64_t mTargetRunTimeMs = 0;
   std::uint64_t mTimeoutMs = 0; ///< of one call
   bool mPublic = false;         ///< callers need no key
+  friend bool operator==(const Queue& aLeft, const Queue& aRight)
+  {
+    const auto key = [](const Queue& aQueue) {
+      return std::tie(aQueue.mName,
+                      aQueue.mHost,
+                      aQueue.mPathPrefix,
+                      aQueue.mPool,
+                      aQueue.mPriority,
+                      aQueue.mMaxAttempts,
+                      aQueue.mSlackPermille,
+                      aQueue.mTargetRunTimeMs,
+                      aQueue.mTimeoutMs,
+                      aQueue.mPublic);
+    };
+    return key(aLeft) == key(aRight);
+  }
   template<class Archive>
   void serialize(Archive& aArchive)
   {
@@ -254,6 +271,32 @@
   }
 };
 
+/** What makes a newer catalog out of an older one, without its source. */
+struct CatalogDelta
+{
+  CatalogVersion mBase; ///< 0: the delta holds everything
+  CatalogVersion mVersion;
+  std::vector<QueueName> mRemovedQueues;
+  std::vector<Queue> mQueues; ///< new or changed
+  std::vector<Pool> mPools;
+  std::vector<CatalogAccount> mAccounts;
+  RequestLimits mLimits;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(
+      mBase, mVersion, mRemovedQueues, mQueues, mPools, mAccounts, mLimits);
+  }
+};
+
+/** Returns the delta from aOld to aNew. Thread safe. */
+CatalogDelta
+DeltaOf(const Catalog& aOld, const Catalog& aNew);
+/** Returns the newer catalog, without a source; an empty optional if the delta
+ * does not build on aOld. Thread safe. */
+std::optional<Catalog>
+ApplyDelta(const Catalog& aOld, const CatalogDelta& aDelta);
+
 /** Returns the queue with the longest prefix of aPath on aHost, or null.
  * Thread safe. */
 const Queue*
--- a/dogwooddrum/protocol/WorkloadMessages.h
+++ b/dogwooddrum/protocol/WorkloadMessages.h
@@ -71,15 +71,23 @@
   }
 };
 
-/** Asks for the newest catalog; the reply holds it only if its version is
- * above mHave. */
+/** Asks for the newest catalog's version, and for as much of it as mContent
+ * says. Polls ask for the version alone: a body that takes longer than the
+ * time between two polls would otherwise be sent again and again. */
 struct ReadCatalog
 {
+  enum class Content : std::uint8_t
+  {
+    Version,
+    Delta, ///< from mHave, or from nothing if that is too old
+    Whole, ///< with its source
+  };
   CatalogVersion mHave;
+  Content mContent = Content::Version;
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mHave);
+    aArchive(mHave, mContent);
   }
 };
 
@@ -132,13 +140,21 @@
   WorkloadPhase mPhase = WorkloadPhase::Queued; ///< for ReadWorkload
   std::uint64_t mWaiting = 0;                   ///< for CountWaiting
   CatalogVersion mVersion;                      ///< for catalog requests
+  std::optional<CatalogDelta> mDelta;           ///< for ReadCatalog
   std::optional<Catalog> mCatalog;              ///< for ReadCatalog
   std::vector<std::string> mMembers; ///< link addresses, for ReadCatalog
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(
-      mId, mResult, mMessage, mPhase, mWaiting, mVersion, mCatalog, mMembers);
+    aArchive(mId,
+             mResult,
+             mMessage,
+             mPhase,
+             mWaiting,
+             mVersion,
+             mDelta,
+             mCatalog,
+             mMembers);
   }
 };
 
