--- /dev/null
+++ b/tests/support/WorkloadWorld.cpp
@@ -0,0 +1,572 @@
+#include "tests/support/WorkloadWorld.h"
+
+#include <algorithm>
+
+namespace dogwooddrum::tests {
+
+using namespace coordination::workloads;
+using protocol::EndedTask;
+using protocol::RunEnd;
+
+namespace {
+
+constexpr std::int64_t kStepMs = 10;
+constexpr std::int64_t kDefaultRunMs = 1000;
+constexpr std::int64_t kHoldMs = 500;
+constexpr std::int64_t kAnnounceMs = 1500;
+constexpr std::int64_t kMostLateMs = 12000;
+constexpr std::uint32_t kMaxAttempts = 3;
+
+Catalog
+MakeCatalog(std::uint64_t aGuaranteed)
+{
+  Catalog catalog;
+  catalog.mVersion = protocol::CatalogVersion(1);
+  catalog.mPools.push_back({ protocol::PoolName("pool"), false, false });
+  for (std::uint32_t priority = 0; priority < 3; ++priority) {
+    protocol::Queue queue;
+    queue.mName = protocol::QueueName("p" + std::to_string(priority));
+    queue.mHost = "host";
+    queue.mPathPrefix = "/p" + std::to_string(priority) + "/";
+    queue.mPool = protocol::PoolName("pool");
+    queue.mPriority = priority;
+    queue.mMaxAttempts = kMaxAttempts;
+    queue.mTimeoutMs = 3000;
+    catalog.mQueues.push_back(queue);
+  }
+  catalog.mAccounts.push_back(
+    { base::AccountId("tenant"), { "key" }, aGuaranteed });
+  return catalog;
+}
+
+} // namespace
+
+/** A target as the platform describes it. */
+struct WorkloadWorld::Target
+{
+  struct Running
+  {
+    RunId mRun;
+    std::int64_t mEndsAt = 0; ///< world time
+    RunEnd mEnd = RunEnd::Done;
+  };
+  protocol::TargetFacts mFacts;
+  std::int64_t mClockZero = 0; ///< world time at which its clock shows 0
+  std::map<TaskId, Running> mRuns;
+  std::map<TaskId, RunNumber> mClosed; ///< highest run stopped or ended
+  std::vector<EndedTask> mEnded;
+  std::uint64_t mLastEnd = 0;
+  std::uint64_t mAcknowledged = 0;
+  std::uint64_t mToken = 0;
+  std::int64_t mLeaseUntil = 0; ///< on its clock
+
+  /** Its clock runs 2% slow. */
+  std::int64_t Clock(std::int64_t aNowMs) const
+  {
+    return (aNowMs - mClockZero) * 98 / 100;
+  }
+  void End(const TaskId& aTask, RunEnd aEnd)
+  {
+    const auto it = mRuns.find(aTask);
+    EndedTask ended;
+    ended.mNumber = ++mLastEnd;
+    ended.mRun = it->second.mRun;
+    ended.mEnd = aEnd;
+    mEnded.push_back(ended);
+    auto& closed = mClosed[aTask];
+    closed = std::max(closed, ended.mRun.mRun);
+    mRuns.erase(it);
+  }
+};
+
+struct WorkloadWorld::Worker
+{
+  std::unique_ptr<WorkerAgent> mAgent;
+  std::unique_ptr<Target> mTarget;
+  std::uint64_t mIncarnation = 1;
+  std::uint64_t mSequence = 0;
+  std::int64_t mNextAnnounce = 0;
+  std::int64_t mNextHold = 0;
+  std::int64_t mCutUntil = 0;
+  std::int64_t mBusyUntil = 0; ///< an order is under way
+  bool mFailing = false;
+};
+
+WorkloadWorld::WorkloadWorld(const WorkloadWorldOptions& aOptions)
+  : mOptions(aOptions)
+  , mRandom(aOptions.mSeed)
+{
+  mNow = base::Time(base::Milliseconds(mNowMs));
+  mState.Apply(Change{ AdoptCatalog{ MakeCatalog(aOptions.mGuaranteed) } });
+  for (std::size_t i = 0; i < aOptions.mWorkers; ++i) {
+    mWorkers.push_back(std::make_unique<Worker>());
+    RestartTarget(i);
+    WorkerAgentOptions agent;
+    agent.mIncarnation = base::Incarnation(i * 1000 + 1);
+    agent.mName = "agent-" + std::to_string(i);
+    mWorkers[i]->mAgent = std::make_unique<WorkerAgent>(agent);
+    mWorkers[i]->mIncarnation = i * 1000 + 1;
+  }
+  mScheduler = std::make_unique<Scheduler>(SchedulerOptions(), mState);
+  mScheduler->BecomeLeader(base::Term(mTerm), mNow);
+}
+
+WorkloadWorld::~WorkloadWorld() = default;
+
+bool
+WorkloadWorld::Chance(double aShare)
+{
+  return aShare > 0 &&
+         std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare;
+}
+
+void
+WorkloadWorld::After(std::int64_t aMs, std::function<void()> aWork)
+{
+  mLater.emplace(mNowMs + aMs, std::move(aWork));
+}
+
+void
+WorkloadWorld::Fail(const std::string& aWhat)
+{
+  mViolations.push_back(std::to_string(mNowMs) + " ms: " + aWhat);
+}
+
+void
+WorkloadWorld::Submit(const std::string& aId,
+                      const std::string& aQueue,
+                      protocol::WorkloadSpec aSpec)
+{
+  mSpecs[aId] = aSpec;
+  mSubmitted[aId] = mNowMs;
+  protocol::WorkloadRequest request;
+  protocol::SubmitWorkload submit;
+  submit.mId = WorkloadId(aId);
+  submit.mQueue = protocol::QueueName(aQueue);
+  submit.mAccount = base::AccountId("tenant");
+  submit.mSpec = std::move(aSpec);
+  request.mBody = std::move(submit);
+  mScheduler->OnRequest(Session(1), request, mNow);
+  Commit();
+}
+
+void
+WorkloadWorld::Cancel(const std::string& aId)
+{
+  protocol::WorkloadRequest request;
+  const auto* workload = mState.Find(WorkloadId(aId));
+  request.mBody =
+    protocol::CancelWorkload{ WorkloadId(aId), workload->mQueueName };
+  mScheduler->OnRequest(Session(1), request, mNow);
+  Commit();
+}
+
+void
+WorkloadWorld::SetRunTime(const std::string& aId, std::int64_t aMs)
+{
+  mRunTimes[aId] = aMs;
+}
+
+void
+WorkloadWorld::SetFailing(const std::string& aId)
+{
+  mFailing.insert(aId);
+}
+
+void
+WorkloadWorld::SetWorkerFailing(std::size_t aWorker)
+{
+  mWorkers[aWorker]->mFailing = true;
+}
+
+void
+WorkloadWorld::CutAgent(std::size_t aWorker, std::int64_t aForMs)
+{
+  mWorkers[aWorker]->mCutUntil = mNowMs + aForMs;
+}
+
+void
+WorkloadWorld::RestartTarget(std::size_t aWorker)
+{
+  Worker& worker = *mWorkers[aWorker];
+  auto target = std::make_unique<Target>();
+  target->mFacts.mLife = { "i-" + std::to_string(aWorker), mNowMs };
+  target->mFacts.mPool = protocol::PoolName("pool");
+  target->mFacts.mRack =
+    base::RackId("r" + std::to_string(aWorker / mOptions.mWorkersPerRack));
+  target->mFacts.mCapacity = mOptions.mCapacity;
+  target->mClockZero = mNowMs - 500;
+  worker.mTarget = std::move(target);
+  worker.mNextAnnounce = mNowMs + kStepMs;
+  worker.mSequence = 0;
+}
+
+void
+WorkloadWorld::Leave(std::size_t aWorker)
+{
+  mWorkers[aWorker]->mTarget->mFacts.mLeaving = true;
+  mWorkers[aWorker]->mNextAnnounce = mNowMs;
+}
+
+void
+WorkloadWorld::ChangeLeader()
+{
+  mScheduler = std::make_unique<Scheduler>(SchedulerOptions(), mState);
+  mScheduler->BecomeLeader(base::Term(++mTerm), mNow);
+}
+
+void
+WorkloadWorld::Commit()
+{
+  for (int round = 0; round < 100; ++round) {
+    auto output = mScheduler->TakeOutput(mNow);
+    for (auto& message : output.mMessages) {
+      Deliver(std::move(message));
+    }
+    if (output.mChanges.empty()) {
+      return;
+    }
+    for (const Change& change : output.mChanges) {
+      mState.Apply(change);
+      if (const auto* end = std::get_if<EndRun>(&change.mBody)) {
+        if (end->mEnd == RunEnd::Done) {
+          mNotedDone.insert(end->mRun.mTask);
+        }
+      }
+      mScheduler->OnApplied(change, mNow);
+    }
+  }
+  Fail("the scheduler proposes changes without an end");
+}
+
+void
+WorkloadWorld::Deliver(SchedulerMessage aMessage)
+{
+  const auto* orders = std::get_if<protocol::WorkerOrders>(&aMessage.mBody);
+  if (orders == nullptr || Chance(mOptions.mFaults.mLostMessages)) {
+    return;
+  }
+  // Sessions of agents are their index and 100.
+  const auto worker = aMessage.mSession.Value() - 100;
+  After(kStepMs, [this, worker, received = *orders] {
+    if (mWorkers[worker]->mCutUntil <= mNowMs) {
+      mWorkers[worker]->mAgent->OnOrders(received, mNow);
+    }
+  });
+}
+
+const protocol::WorkloadStep&
+WorkloadWorld::StepOf(const protocol::TaskId& aTask) const
+{
+  return mSpecs.at(aTask.mWorkload.Value()).mSteps.at(aTask.mStep);
+}
+
+void
+WorkloadWorld::CheckStart(std::size_t aWorker, const RunId& aRun)
+{
+  const TaskId& task = aRun.mTask;
+  const std::string name = ToString(task);
+  for (const auto& worker : mWorkers) {
+    if (worker->mTarget->mRuns.count(task) > 0) {
+      Fail("TWICE: " + name + " starts while it runs elsewhere");
+    }
+  }
+  if (mNotedDone.count(task) > 0) {
+    Fail("TWICE: " + name + " starts after its end was acknowledged");
+  }
+  if (mNotedFailures[task] >= static_cast<int>(kMaxAttempts)) {
+    Fail("BUDGET: " + name + " starts without an attempt left");
+  }
+  for (const std::uint32_t earlier : StepOf(task).mDependsOn) {
+    const auto& step = mSpecs.at(task.mWorkload.Value()).mSteps.at(earlier);
+    for (std::uint32_t i = 0; i < step.mCount; ++i) {
+      if (mNotedDone.count({ task.mWorkload, task.mOccurrence, earlier, i }) ==
+            0 &&
+          !step.mGang) {
+        Fail("ORDER: " + name + " starts before step " +
+             std::to_string(earlier) + " is done");
+      }
+    }
+  }
+  Room used = RoomFor(StepOf(task));
+  for (const auto& [other, running] : mWorkers[aWorker]->mTarget->mRuns) {
+    used = used + RoomFor(StepOf(other));
+  }
+  const Room capacity{
+    static_cast<std::int64_t>(mOptions.mCapacity.mMilliCores),
+    static_cast<std::int64_t>(mOptions.mCapacity.mMemoryMb),
+    static_cast<std::int64_t>(mOptions.mCapacity.mAccelerators)
+  };
+  if (!Fits(used, capacity)) {
+    Fail("LIMIT: " + name + " does not fit on worker " +
+         std::to_string(aWorker));
+  }
+}
+
+OrderOutcome
+WorkloadWorld::Start(std::size_t aWorker, const OrderCall& aCall)
+{
+  Target& target = *mWorkers[aWorker]->mTarget;
+  const RunId& run = aCall.mStart.mRun;
+  const auto it = target.mRuns.find(run.mTask);
+  if (it != target.mRuns.end() && it->second.mRun == run) {
+    return OrderOutcome::Done;
+  }
+  if (aCall.mLeaseUntilMs <= target.Clock(mNowMs)) {
+    return OrderOutcome::Later;
+  }
+  const auto closed = target.mClosed.find(run.mTask);
+  if (closed != target.mClosed.end() && run.mRun <= closed->second) {
+    return OrderOutcome::Rejected;
+  }
+  if (Chance(mOptions.mFaults.mRefusedStarts)) {
+    return OrderOutcome::Rejected;
+  }
+  CheckStart(aWorker, run);
+  const std::string id = run.mTask.mWorkload.Value();
+  target.mLeaseUntil = std::max(target.mLeaseUntil, aCall.mLeaseUntilMs);
+  Target::Running running;
+  running.mRun = run;
+  const auto time = mRunTimes.find(id);
+  running.mEndsAt =
+    mNowMs + (time == mRunTimes.end() ? kDefaultRunMs : time->second);
+  const bool fails = mFailing.count(id) > 0 || mWorkers[aWorker]->mFailing ||
+                     Chance(mOptions.mFaults.mFailingRuns);
+  running.mEnd = fails ? RunEnd::Failed : RunEnd::Done;
+  target.mRuns[run.mTask] = running;
+  ++mStarts[id];
+  mFirstStarts.emplace(id, mNowMs);
+  mPlaces[id].insert(aWorker);
+  return OrderOutcome::Done;
+}
+
+OrderOutcome
+WorkloadWorld::Carry(std::size_t aWorker, const OrderCall& aCall)
+{
+  Target& target = *mWorkers[aWorker]->mTarget;
+  if (target.mFacts.mLife != aCall.mLife ||
+      aCall.mTerm.Value() < target.mToken) {
+    return OrderOutcome::Later;
+  }
+  target.mToken = aCall.mTerm.Value();
+  if (aCall.mIsStart) {
+    return Start(aWorker, aCall);
+  }
+  const RunId& run = aCall.mStart.mRun;
+  auto& closed = target.mClosed[run.mTask];
+  closed = std::max(closed, run.mRun);
+  const auto it = target.mRuns.find(run.mTask);
+  if (it != target.mRuns.end() && it->second.mRun == run) {
+    // It ends a little later, as a target that saves its work.
+    it->second.mEndsAt = std::min(it->second.mEndsAt, mNowMs + 300);
+    it->second.mEnd = RunEnd::Stopped;
+  }
+  return OrderOutcome::Done;
+}
+
+void
+WorkloadWorld::CallTarget(std::size_t aWorker, const OrderCall& aCall)
+{
+  Worker& worker = *mWorkers[aWorker];
+  if (!Chance(mOptions.mFaults.mUnansweredOrders)) {
+    const auto outcome = Carry(aWorker, aCall);
+    worker.mAgent->OnAnswered(aCall, outcome, "rejected", mNow);
+    return;
+  }
+  if (Chance(0.5)) {
+    const auto late =
+      std::uniform_int_distribution<std::int64_t>(2000, kMostLateMs)(mRandom);
+    After(late, [this, aWorker, aCall] { Carry(aWorker, aCall); });
+  }
+  constexpr std::int64_t kTimeoutMs = 400;
+  worker.mBusyUntil = mNowMs + kTimeoutMs;
+  After(kTimeoutMs, [this, aWorker, aCall, who = worker.mIncarnation] {
+    if (mWorkers[aWorker]->mIncarnation == who) {
+      mWorkers[aWorker]->mAgent->OnAnswered(
+        aCall, OrderOutcome::Unknown, "", mNow);
+    }
+  });
+}
+
+void
+WorkloadWorld::AdvanceTarget(std::size_t aWorker)
+{
+  Target& target = *mWorkers[aWorker]->mTarget;
+  if (target.mLeaseUntil <= target.Clock(mNowMs)) {
+    while (!target.mRuns.empty()) {
+      target.End(target.mRuns.begin()->first, RunEnd::Lapsed);
+    }
+  }
+  std::vector<TaskId> due;
+  for (const auto& [task, running] : target.mRuns) {
+    if (running.mEndsAt <= mNowMs) {
+      due.push_back(task);
+    }
+  }
+  for (const TaskId& task : due) {
+    const RunEnd end = target.mRuns.at(task).mEnd;
+    target.End(task, end);
+  }
+}
+
+void
+WorkloadWorld::RunWorker(std::size_t aWorker)
+{
+  Worker& worker = *mWorkers[aWorker];
+  Target& target = *worker.mTarget;
+  AdvanceTarget(aWorker);
+  if (mNowMs >= worker.mNextAnnounce) {
+    worker.mNextAnnounce = mNowMs + kAnnounceMs;
+    worker.mAgent->OnAnnounced(target.mFacts, ++worker.mSequence);
+  }
+  if (mNowMs < worker.mBusyUntil) {
+    return;
+  }
+  while (const auto call = worker.mAgent->NextOrder(mNow)) {
+    CallTarget(aWorker, *call);
+    if (mNowMs < worker.mBusyUntil) {
+      return;
+    }
+  }
+  if (mNowMs < worker.mNextHold) {
+    return;
+  }
+  worker.mNextHold = mNowMs + kHoldMs / 5;
+  const auto renewal = worker.mAgent->NextRenewal(mNow);
+  if (renewal && renewal->mLife == target.mFacts.mLife &&
+      renewal->mTerm.Value() >= target.mToken) {
+    target.mToken = renewal->mTerm.Value();
+    if (renewal->mLeaseUntilMs) {
+      target.mLeaseUntil =
+        std::max(target.mLeaseUntil, *renewal->mLeaseUntilMs);
+    }
+    for (const EndedTask& ended : target.mEnded) {
+      if (ended.mNumber <= renewal->mAcknowledged &&
+          ended.mNumber > target.mAcknowledged &&
+          ended.mEnd == RunEnd::Failed) {
+        ++mNotedFailures[ended.mRun.mTask];
+      }
+    }
+    target.mAcknowledged =
+      std::max(target.mAcknowledged, renewal->mAcknowledged);
+    target.mEnded.erase(std::remove_if(target.mEnded.begin(),
+                                       target.mEnded.end(),
+                                       [&](const EndedTask& aEnded) {
+                                         return aEnded.mNumber <=
+                                                target.mAcknowledged;
+                                       }),
+                        target.mEnded.end());
+    std::vector<protocol::RunningTask> running;
+    for (const auto& [task, run] : target.mRuns) {
+      running.push_back({ run.mRun, "", 100 });
+    }
+    worker.mAgent->OnListing(target.mFacts.mLife,
+                             target.Clock(mNowMs),
+                             running,
+                             target.mEnded,
+                             mNow,
+                             mNow);
+  }
+  const auto report = worker.mAgent->MakeReport(mNow);
+  if (worker.mCutUntil > mNowMs || Chance(mOptions.mFaults.mLostMessages)) {
+    return;
+  }
+  After(kStepMs, [this, aWorker, report] {
+    if (mWorkers[aWorker]->mCutUntil <= mNowMs) {
+      mScheduler->OnReport(Session(100 + aWorker), report, mNow);
+      Commit();
+    }
+  });
+}
+
+void
+WorkloadWorld::Step()
+{
+  mNowMs += kStepMs;
+  mNow = base::Time(base::Milliseconds(mNowMs));
+  while (!mLater.empty() && mLater.begin()->first <= mNowMs) {
+    const auto work = std::move(mLater.begin()->second);
+    mLater.erase(mLater.begin());
+    work();
+  }
+  const WorkloadFaults& faults = mOptions.mFaults;
+  if (Chance(faults.mLeaderChange)) {
+    ChangeLeader();
+  }
+  for (std::size_t i = 0; i < mWorkers.size(); ++i) {
+    Worker& worker = *mWorkers[i];
+    if (Chance(faults.mAgentRestart)) {
+      WorkerAgentOptions agent;
+      agent.mIncarnation = base::Incarnation(++worker.mIncarnation);
+      agent.mName = "agent-" + std::to_string(i);
+      worker.mAgent = std::make_unique<WorkerAgent>(agent);
+      worker.mNextAnnounce = mNowMs + kAnnounceMs;
+    }
+    if (Chance(faults.mTargetRestart)) {
+      RestartTarget(i);
+    }
+    if (Chance(faults.mAgentCut)) {
+      CutAgent(
+        i, std::uniform_int_distribution<std::int64_t>(500, 10000)(mRandom));
+    }
+    RunWorker(i);
+  }
+  mScheduler->Tick(mNow);
+  Commit();
+}
+
+void
+WorkloadWorld::Run(std::int64_t aMs)
+{
+  const std::int64_t end = mNowMs + aMs;
+  while (mNowMs < end) {
+    Step();
+  }
+}
+
+protocol::WorkloadPhase
+WorkloadWorld::Phase(const std::string& aId) const
+{
+  const auto* workload = mState.Find(WorkloadId(aId));
+  return workload == nullptr ? protocol::WorkloadPhase::Queued
+                             : workload->mPhase;
+}
+
+int
+WorkloadWorld::Starts(const std::string& aId) const
+{
+  const auto it = mStarts.find(aId);
+  return it == mStarts.end() ? 0 : it->second;
+}
+
+std::int64_t
+WorkloadWorld::FirstStartMs(const std::string& aId) const
+{
+  const auto it = mFirstStarts.find(aId);
+  return it == mFirstStarts.end() ? -1 : it->second - mSubmitted.at(aId);
+}
+
+std::set<std::size_t>
+WorkloadWorld::WorkersOf(const std::string& aId) const
+{
+  const auto it = mPlaces.find(aId);
+  return it == mPlaces.end() ? std::set<std::size_t>() : it->second;
+}
+
+protocol::WorkloadSpec
+OneStep(std::uint32_t aCount,
+        std::uint64_t aMilliCores,
+        std::uint64_t aAccelerators,
+        bool aGang)
+{
+  protocol::WorkloadSpec spec;
+  protocol::WorkloadStep step;
+  step.mCount = aCount;
+  step.mEach = { aMilliCores, 1000, aAccelerators };
+  step.mEstimateMs = kDefaultRunMs;
+  step.mGang = aGang;
+  spec.mSteps.push_back(step);
+  return spec;
+}
+
+} // namespace dogwooddrum::tests
