Ask the members that a seed tells of when joining a group

Cause: a member with a lost disk asked only the seeds, and only the leader acts on the request. Ruled out: links and elections, which the logs show working.

--- a/dogwooddrum/daemon/JoinLinks.cpp
+++ b/dogwooddrum/daemon/JoinLinks.cpp
@@ -18,42 +18,66 @@
 {
 }
 
+std::unique_ptr<transport::LinkClient>
+JoinLinks::Connect(const transport::Address& aAddress,
+                   const std::string& aRequest,
+                   const OnMembership& aOnMembership)
+{
+  transport::LinkEvents events;
+  events.mUp = [aRequest](const transport::LinkPtr& aLink) {
+    aLink->Send(protocol::MessageType::JoinRequest, aRequest);
+  };
+  events.mClosed = [](const transport::LinkPtr&, transport::CloseReason) {};
+  events.mFrame = [aOnMembership, told = mTold](const transport::LinkPtr&,
+                                                const protocol::Frame& aFrame) {
+    if (aFrame.mType != protocol::MessageType::JoinReply) {
+      return;
+    }
+    const auto membership =
+      protocol::Decode<coordination::consensus::Membership>(aFrame.mPayload);
+    if (!membership) {
+      return;
+    }
+    {
+      const std::lock_guard<std::mutex> lock(told->mMutex);
+      for (const auto& member : membership->mMembers) {
+        told->mAddresses.insert(member.mAddress);
+      }
+    }
+    aOnMembership(*membership);
+  };
+  auto client = std::make_unique<transport::LinkClient>(
+    mNetwork, aAddress, mOptions, events, mCounters);
+  client->Start();
+  return client;
+}
+
 void
 JoinLinks::Ask(const std::vector<transport::Address>& aAddresses,
                const OnMembership& aOnMembership)
 {
   const auto request =
     protocol::Encode(protocol::JoinRequest{ mSelf, mSelfAddress });
+  std::set<std::string> addresses;
   for (const auto& address : aAddresses) {
-    const std::string text =
-      address.mHost + ":" + std::to_string(address.mPort);
-    if (text == mSelfAddress) {
-      continue;
+    addresses.insert(address.mHost + ":" + std::to_string(address.mPort));
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mTold->mMutex);
+    addresses.insert(mTold->mAddresses.begin(), mTold->mAddresses.end());
+  }
+  addresses.erase(mSelfAddress);
+  for (const auto& text : addresses) {
+    const auto address = transport::ParseAddress(text);
+    if (!address) {
+      continue; // a member whose address cannot be linked to
     }
     auto& client = mLinks[text];
-    if (!client) {
-      transport::LinkEvents events;
-      events.mUp = [request](const transport::LinkPtr& aLink) {
-        aLink->Send(protocol::MessageType::JoinRequest, request);
-      };
-      events.mClosed = [](const transport::LinkPtr&, transport::CloseReason) {};
-      events.mFrame = [aOnMembership](const transport::LinkPtr&,
-                                      const protocol::Frame& aFrame) {
-        if (aFrame.mType != protocol::MessageType::JoinReply) {
-          return;
-        }
-        const auto membership =
-          protocol::Decode<coordination::consensus::Membership>(
-            aFrame.mPayload);
-        if (membership) {
-          aOnMembership(*membership);
-        }
-      };
-      client = std::make_unique<transport::LinkClient>(
-        mNetwork, address, mOptions, events, mCounters);
-      client->Start();
+    if (client) {
+      client->Send(protocol::MessageType::JoinRequest, request);
+    } else {
+      client = Connect(*address, request, aOnMembership);
     }
-    client->Send(protocol::MessageType::JoinRequest, request);
   }
 }
 
--- a/dogwooddrum/daemon/JoinLinks.h
+++ b/dogwooddrum/daemon/JoinLinks.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,8 +32,9 @@
             base::MemberId aSelf,
             std::string aSelfAddress);
 
-  /** Asks the processes at aAddresses, without this one. Call repeatedly:
-   * only the leader acts, and it forgets. */
+  /** Asks the processes at aAddresses and the members that these have told
+   * of, without this process. Call repeatedly: only the leader acts, which
+   * need not be among aAddresses, and it forgets. */
   void Ask(const std::vector<transport::Address>& aAddresses,
            const OnMembership& aOnMembership);
   /** Closes the links until the next Ask. */
@@ -39,12 +42,24 @@
   void Stop();
 
 private:
+  std::unique_ptr<transport::LinkClient> Connect(
+    const transport::Address& aAddress,
+    const std::string& aRequest,
+    const OnMembership& aOnMembership);
+
   transport::Network& mNetwork;
   const transport::LinkOptions mOptions;
   transport::LinkCounters& mCounters;
   const base::MemberId mSelf;
   const std::string mSelfAddress;
   std::map<std::string, std::unique_ptr<transport::LinkClient>> mLinks;
+  /** Addresses of members, written by network threads. */
+  struct Told
+  {
+    std::mutex mMutex;
+    std::set<std::string> mAddresses;
+  };
+  std::shared_ptr<Told> mTold = std::make_shared<Told>();
 };
 
 } // namespace dogwooddrum::daemon
