Bound what work outside guarantees may stop, and count whole gangs

Ruled out: failing workers (8 failed ends of 445).

Change: the loss of a victim is its gang's; saved work costs a restore; work outside its guarantee stops no more than its own size.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -1,6 +1,7 @@
 #include "dogwooddrum/coordination/workloads/Leading.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace dogwooddrum::coordination::workloads {
@@ -9,6 +10,8 @@
 
 /** Placement also depends on time: patience, suspicion, occurrences. */
 constexpr base::Duration kDecisionInterval = base::Milliseconds(250);
+/** About what a stopped task needs to be at work again. */
+constexpr base::Duration kRestoreTime = base::Milliseconds(600);
 /** Cores that one accelerator counts for when work is thrown away. */
 constexpr double kCoresPerAccelerator = 8;
 
@@ -83,17 +86,27 @@
   return guaranteed;
 }
 
+/** Returns the cores that a room counts for. */
 double
-LossOf(const Leading& aLeading, const OpenRun& aRun)
+CoresOf(const Room& aRoom)
 {
-  const auto since = std::max(aRun.mStartedAt, aRun.mSavedAt);
-  const auto seconds =
-    static_cast<double>(base::ToMilliseconds(aLeading.mNow - since)) / 1000;
-  return seconds *
-         (static_cast<double>(aRun.mRoom.mMilliCores) / 1000 +
-          kCoresPerAccelerator * static_cast<double>(aRun.mRoom.mAccelerators));
+  return static_cast<double>(aRoom.mMilliCores) / 1000 +
+         kCoresPerAccelerator * static_cast<double>(aRoom.mAccelerators);
 }
 
+/** Returns the core-seconds that a stop of the run throws away. */
+double
+LossOf(const Leading& aLeading, const RunId& aId, const OpenRun& aRun)
+{
+  const auto* workload = aLeading.mState->Find(aId.mTask.mWorkload);
+  // A checkpointing task saves its work when it is stopped.
+  const bool saves =
+    workload != nullptr && StepOf(*workload, aId.mTask).mCheckpointing;
+  const auto since = std::max(aRun.mStartedAt, aRun.mSavedAt);
+  const auto lost = saves ? kRestoreTime : aLeading.mNow - since + kRestoreTime;
+  return static_cast<double>(base::ToMilliseconds(lost)) / 1000 *
+         CoresOf(aRun.mRoom);
+}
 /** Returns all open runs of the gang of aRun, or aRun alone. */
 std::vector<RunId>
 GangOf(const Leading& aLeading, const RunId& aRun)
@@ -156,7 +169,13 @@
       victim.mGang = GangOf(aLeading, run);
       victim.mPriority = open.mPriority;
       victim.mRoom = open.mRoom;
-      victim.mLoss = LossOf(aLeading, open);
+      // Stopping a member ends the whole gang.
+      for (const RunId& member : victim.mGang) {
+        const auto other = aLeading.mRuns.find(member);
+        victim.mLoss += other == aLeading.mRuns.end()
+                          ? 0
+                          : LossOf(aLeading, member, other->second);
+      }
       view.mVictims.push_back(std::move(victim));
     }
   }
@@ -387,11 +406,17 @@
   std::map<Key, std::vector<std::pair<std::size_t, base::RackId>>> mPlaced;
 };
 
-/** Lowest priority number whose work the unit may not stop. */
-std::uint32_t
-PreemptsBelow(const Unit& aUnit)
+/** Returns the core-seconds of others' work that may be thrown away for the
+ * unit: without a limit inside a guarantee, else no more than its own. */
+double
+AllowedLoss(const Unit& aUnit)
 {
-  return aUnit.mPriority;
+  if (aUnit.mGuaranteed) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return static_cast<double>(aUnit.mTasks.size()) *
+         CoresOf(RoomFor(*aUnit.mStep)) *
+         static_cast<double>(aUnit.mStep->mEstimateMs) / 1000;
 }
 
 } // namespace
@@ -453,7 +478,8 @@
     if (unit.mPriority > 0) {
       continue;
     }
-    if (const auto plan = PlanPreemption(unit, PreemptsBelow(unit), views)) {
+    if (const auto plan =
+          PlanPreemption(unit, unit.mPriority, AllowedLoss(unit), views)) {
       full = nullptr;
       for (const RunId& run : plan->mStops) {
         StopRun(aLeading, run, "preempted");
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -242,31 +242,34 @@
 std::optional<PreemptionPlan>
 PlanPreemption(const Unit& aUnit,
                std::uint32_t aBelow,
+               double aAllowedLoss,
                std::vector<WorkerView>& aWorkers)
 {
   const Room need = RoomFor(*aUnit.mStep);
   auto scratch = aWorkers;
   auto stepTasks = aUnit.mStepTasks;
   PreemptionPlan plan;
+  double loss = 0;
   std::set<RunId> stops;
   for (std::size_t task = 0; task < aUnit.mTasks.size(); ++task) {
     std::optional<std::size_t> best;
     double bestLoss = 0;
     std::vector<const Victim*> bestStops;
     for (std::size_t i = 0; i < scratch.size(); ++i) {
-      double loss = 0;
+      double stopLoss = 0;
       if (!IsEligible(aUnit, scratch[i]) || scratch[i].mSuspect ||
           !HasStepRoom(aUnit, stepTasks, i)) {
         continue;
       }
-      const auto found = CheapestStops(scratch[i], need, aBelow, loss);
-      if (found && (!best || loss < bestLoss)) {
+      const auto found = CheapestStops(scratch[i], need, aBelow, stopLoss);
+      if (found && (!best || stopLoss < bestLoss)) {
         best = i;
-        bestLoss = loss;
+        bestLoss = stopLoss;
         bestStops = *found;
       }
     }
-    if (!best) {
+    loss += bestLoss;
+    if (!best || loss > aAllowedLoss) {
       return std::nullopt;
     }
     std::set<RunId> now;
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -102,13 +102,15 @@
 };
 
 /**
- * Returns the cheapest stops of runs of a lower urgency class than aBelow
+ * Returns the cheapest stops of runs of a higher priority number than aBelow
  * that make room for the unit, and takes the unit's room out of aWorkers so
- * that nothing else gets it; or an empty optional, without a change.
+ * that nothing else gets it; or an empty optional, without a change, if there
+ * are none or they throw more than aAllowedLoss core-seconds away.
  */
 std::optional<PreemptionPlan>
 PlanPreemption(const Unit& aUnit,
                std::uint32_t aBelow,
+               double aAllowedLoss,
                std::vector<WorkerView>& aWorkers);
 
 /** Returns whether the unit would fit if its pool's workers were empty. */
--- a/dogwooddrum/coordination/workloads/Scheduler.cpp
+++ b/dogwooddrum/coordination/workloads/Scheduler.cpp
@@ -41,7 +41,11 @@
   for (auto it = aLeading.mRuns.lower_bound(first);
        it != aLeading.mRuns.end() && it->first.mTask.mWorkload == aId;
        ++it) {
-    StopRun(aLeading, it->first, ToString(workload->mPhase));
+    // A run whose end was applied in the same batch is not open any more.
+    const TaskRecord* task = aLeading.mState->Find(it->first.mTask);
+    if (task != nullptr && task->mPhase == TaskPhase::Running) {
+      StopRun(aLeading, it->first, ToString(workload->mPhase));
+    }
   }
 }
 
