Report ends at once, and also after their target has left

Ruled out: the renewal's wait, which returns within 2 ms of an end.

Change: listings are compared list by list; a past life keeps its last ends, and the leader takes them before it ends the rest.

The new tests fail without the change.

--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -20,6 +20,20 @@
          aLeft.mCapacity.mAccelerators == aRight.mCapacity.mAccelerators;
 }
 
+/** Returns whether both lists name the same runs in the same order. */
+template<typename Row>
+bool
+SameRuns(const std::vector<Row>& aLeft, const std::vector<Row>& aRight)
+{
+  return std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](const Row& aOne, const Row& aOther) {
+                      return aOne.mRun == aOther.mRun;
+                    });
+}
+
 } // namespace
 
 WorkerAgent::WorkerAgent(const WorkerAgentOptions& aOptions)
@@ -33,7 +47,9 @@
 {
   const auto& life = aFacts.mLife;
   const bool past =
-    std::find(mPastLives.begin(), mPastLives.end(), life) != mPastLives.end();
+    std::any_of(mPastLives.begin(), mPastLives.end(), [&](const auto& aPast) {
+      return aPast.mLife == life;
+    });
   if (past) {
     return false;
   }
@@ -70,7 +86,8 @@
 WorkerAgent::ForgetLife()
 {
   if (mTarget) {
-    mPastLives.push_back(mTarget->mLife);
+    // The leader may not have heard of the last ends yet.
+    mPastLives.push_back({ mTarget->mLife, std::move(mEnded) });
     if (mPastLives.size() > kMaxPastLives) {
       mPastLives.erase(mPastLives.begin());
     }
@@ -137,7 +154,7 @@
   static_cast<void>(aNow);
 }
 
-void
+bool
 WorkerAgent::OnListing(const protocol::TargetLife& aLife,
                        std::int64_t aClockMs,
                        std::vector<protocol::RunningTask> aRunning,
@@ -146,19 +163,22 @@
                        base::Time aNow)
 {
   if (!mTarget || mTarget->mLife != aLife) {
-    return;
+    return false;
   }
+  const bool changed =
+    !mListed || !SameRuns(mRunning, aRunning) || !SameRuns(mEnded, aEnded);
   mClockMs = aClockMs;
   mClockAt = aNow;
   mRunning = std::move(aRunning);
   mEnded = std::move(aEnded);
   mListed = true;
-  FindNeverRan(aCalledAt);
+  return FindNeverRan(aCalledAt) || changed;
 }
 
-void
+bool
 WorkerAgent::FindNeverRan(base::Time aCalledAt)
 {
+  bool found = false;
   for (const auto& [run, stop] : mStops) {
     const auto isRun = [&, &wanted = run](const auto& aEach) {
       return aEach.mRun == wanted;
@@ -169,9 +189,11 @@
       continue;
     }
     const auto start = mStarts.find(run);
-    mNeverRan[run] =
+    const auto why =
       start == mStarts.end() ? "stopped before its start" : start->second.mWhy;
+    found = mNeverRan.emplace(run, why).second || found;
   }
+  return found;
 }
 
 std::optional<OrderCall>
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -72,8 +72,9 @@
   void OnLeft(const std::string& aInstance);
   /** Orders of the leader; older ones than those in force are ignored. */
   void OnOrders(const protocol::WorkerOrders& aOrders, base::Time aNow);
-  /** The target listed its runs; aCalledAt: before the call was sent. */
-  void OnListing(const protocol::TargetLife& aLife,
+  /** The target listed its runs; aCalledAt: before the call was sent. Returns
+   * whether a run started or ended since the listing before. */
+  bool OnListing(const protocol::TargetLife& aLife,
                  std::int64_t aClockMs,
                  std::vector<protocol::RunningTask> aRunning,
                  std::vector<protocol::EndedTask> aEnded,
@@ -116,14 +117,14 @@
 
   std::int64_t ToTargetClock(base::Time aTime) const;
   void ForgetLife();
-  void FindNeverRan(base::Time aCalledAt);
+  bool FindNeverRan(base::Time aCalledAt);
 
   const WorkerAgentOptions mOptions;
   std::uint64_t mReportSequence = 0;
 
   std::optional<protocol::TargetFacts> mTarget;
   std::uint64_t mAnnounced = 0; ///< newest sequence of this life
-  std::vector<protocol::TargetLife> mPastLives;
+  std::vector<protocol::PastLife> mPastLives;
 
   base::Term mTerm;
   std::uint64_t mOrderSequence = 0;
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -148,6 +148,20 @@
   }
 }
 
+/** A run that a target listed as ended before it left did end so: it must
+ * not count as lost with the target and be run again. */
+void
+TakeLastEnds(Leading& aLeading, const protocol::PastLife& aPast)
+{
+  for (const auto& ended : aPast.mEnded) {
+    const auto it = aLeading.mRuns.find(ended.mRun);
+    if (it != aLeading.mRuns.end() && it->second.mTarget == aPast.mLife &&
+        it->second.mCommitted) {
+      ProposeEnd(aLeading, ended.mRun, ended.mEnd, ended.mCheckpoint);
+    }
+  }
+}
+
 void
 TakeRunning(Leading& aLeading,
             Worker& aWorker,
@@ -250,8 +264,9 @@
              Session aSession,
              const protocol::WorkerReport& aReport)
 {
-  for (const TargetLife& past : aReport.mPastLives) {
-    RemoveLife(aLeading, past);
+  for (const protocol::PastLife& past : aReport.mPastLives) {
+    TakeLastEnds(aLeading, past);
+    RemoveLife(aLeading, past.mLife);
   }
   if (!aReport.mTarget) {
     return;
--- a/dogwooddrum/daemon/WorkerHost.cpp
+++ b/dogwooddrum/daemon/WorkerHost.cpp
@@ -420,14 +420,13 @@
       return kHoldRetry;
     }
     const std::lock_guard<std::mutex> lock(mMutex);
-    const auto changed = Changed(*listing);
     mRunning = listing->mRunning.size();
-    mAgent.OnListing(renewal->mLife,
-                     listing->mClockMs,
-                     std::move(listing->mRunning),
-                     std::move(listing->mEnded),
-                     begin,
-                     now);
+    const bool changed = mAgent.OnListing(renewal->mLife,
+                                          listing->mClockMs,
+                                          std::move(listing->mRunning),
+                                          std::move(listing->mEnded),
+                                          begin,
+                                          now);
     if (changed || now >= mNextReport) {
       SendReportLocked(now);
     }
@@ -435,21 +434,6 @@
     return now - begin < kHoldPause ? kHoldPause : base::Duration::zero();
   }
 
-  /** Returns whether the runs differ from those of the listing before. */
-  bool Changed(const Listing& aListing)
-  {
-    std::vector<protocol::RunId> runs;
-    for (const auto& running : aListing.mRunning) {
-      runs.push_back(running.mRun);
-    }
-    for (const auto& ended : aListing.mEnded) {
-      runs.push_back(ended.mRun);
-    }
-    const bool changed = runs != mLastRuns;
-    mLastRuns = std::move(runs);
-    return changed;
-  }
-
   base::Duration Order(transport::HttpClient* aClient)
   {
     std::optional<OrderCall> call;
@@ -492,10 +476,9 @@
   const service::AgentSettings& mSettings;
   const TargetProtocol& mProtocol;
   const base::Incarnation mIncarnation = DrawIncarnation();
-  std::mutex mMutex; ///< guards mAgent, mNextReport and mLastRuns
+  std::mutex mMutex; ///< guards mAgent and mNextReport
   WorkerAgent mAgent;
   base::Time mNextReport{};
-  std::vector<protocol::RunId> mLastRuns;
   std::unique_ptr<ControlLinks> mLinks;
   std::unique_ptr<transport::HttpServer> mServer;
   EventLoop mLoop;
--- a/dogwooddrum/protocol/WorkloadMessages.h
+++ b/dogwooddrum/protocol/WorkloadMessages.h
@@ -225,6 +225,18 @@
   }
 };
 
+/** A life of a target that is over, with the ends that it listed last. */
+struct PastLife
+{
+  TargetLife mLife;
+  std::vector<EndedTask> mEnded;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mLife, mEnded);
+  }
+};
+
 /** Everything an agent knows. Replaces what it reported before. */
 struct WorkerReport
 {
@@ -233,7 +245,7 @@
   std::uint64_t mSequence = 0; ///< rises within an incarnation
   std::int64_t mSentAtUs = 0;  ///< on the agent's clock; echoed in a grant
   std::optional<TargetFacts> mTarget; ///< none: no target is known
-  std::vector<TargetLife> mPastLives; ///< left, or replaced by mTarget
+  std::vector<PastLife> mPastLives;   ///< left, or replaced by mTarget
   bool mListed = false; ///< the two lists were read from this life
   std::vector<RunningTask> mRunning;
   std::vector<EndedTask> mEnded; ///< beyond the acknowledged ones
--- /dev/null
+++ b/tests/correctness/CatalogDeltas.cpp
@@ -0,0 +1,105 @@
+// Guards catalog deltas: an entry that applies them must route as the whole
+// catalog does; and polls must not carry a catalog's body, which kept entries
+// on narrow links from ever becoming current when queues were added by the
+// hundred.
+#include "dogwooddrum/coordination/workloads/Scheduler.h"
+#include "dogwooddrum/protocol/Codec.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace dogwooddrum::tests {
+namespace {
+
+using namespace coordination::workloads;
+using protocol::Queue;
+
+Catalog
+RandomCatalog(std::mt19937_64& aRandom, std::uint64_t aVersion)
+{
+  Catalog catalog;
+  catalog.mVersion = protocol::CatalogVersion(aVersion);
+  catalog.mPools.push_back({ protocol::PoolName("pool"), false, false });
+  for (int i = 0; i < 20; ++i) {
+    if (aRandom() % 3 == 0) {
+      continue;
+    }
+    Queue queue;
+    queue.mName = protocol::QueueName("q" + std::to_string(i));
+    queue.mHost = "host";
+    queue.mPathPrefix = "/" + std::to_string(i) + "/";
+    queue.mPool = protocol::PoolName("pool");
+    queue.mTimeoutMs = 1000 + aRandom() % 2;
+    catalog.mQueues.push_back(queue);
+  }
+  return catalog;
+}
+
+TEST(CatalogDeltas, RouteAsTheWholeCatalogDoes)
+{
+  std::mt19937_64 random(1);
+  Catalog held;
+  for (std::uint64_t version = 1; version <= 200; ++version) {
+    const Catalog next = RandomCatalog(random, version);
+    const auto applied =
+      protocol::ApplyDelta(held, protocol::DeltaOf(held, next));
+    ASSERT_TRUE(applied);
+    for (int i = 0; i < 20; ++i) {
+      const std::string path = "/" + std::to_string(i) + "/id";
+      const Queue* wanted = protocol::FindQueue(next, "host", path);
+      const Queue* found = protocol::FindQueue(*applied, "host", path);
+      ASSERT_EQ(wanted == nullptr, found == nullptr) << path;
+      EXPECT_TRUE(wanted == nullptr || *wanted == *found) << path;
+    }
+    held = *applied;
+  }
+}
+
+TEST(CatalogDeltas, RefuseAnotherBase)
+{
+  std::mt19937_64 random(1);
+  const auto first = RandomCatalog(random, 1);
+  const auto second = RandomCatalog(random, 2);
+  const auto third = RandomCatalog(random, 3);
+  EXPECT_FALSE(protocol::ApplyDelta(first, protocol::DeltaOf(second, third)));
+}
+
+TEST(CatalogDeltas, PollOfAGrownCatalogStaysSmall)
+{
+  std::mt19937_64 random(1);
+  State state;
+  Catalog catalog = RandomCatalog(random, 1);
+  for (int i = 0; i < 350; ++i) {
+    Queue queue = catalog.mQueues.front();
+    queue.mName = protocol::QueueName("more" + std::to_string(i));
+    catalog.mQueues.push_back(queue);
+  }
+  catalog.mSource.assign(100000, 'x');
+  state.Apply(Change{ AdoptCatalog{ catalog } });
+  Scheduler scheduler({}, state);
+  scheduler.BecomeLeader(base::Term(1), base::Time());
+  protocol::WorkloadRequest poll;
+  poll.mBody = protocol::ReadCatalog{};
+  scheduler.OnRequest(Session(1), poll, base::Time());
+  auto output = scheduler.TakeOutput(base::Time());
+  ASSERT_EQ(output.mMessages.size(), 1U);
+  const auto& reply =
+    std::get<protocol::WorkloadReply>(output.mMessages[0].mBody);
+  EXPECT_EQ(reply.mVersion, catalog.mVersion);
+  EXPECT_LT(protocol::Encode(reply).size(), 1000U);
+
+  // A fetch leaves the operator's text out.
+  poll.mBody = protocol::ReadCatalog{ protocol::CatalogVersion(),
+                                      protocol::ReadCatalog::Content::Delta };
+  scheduler.OnRequest(Session(1), poll, base::Time());
+  output = scheduler.TakeOutput(base::Time());
+  const auto& fetched =
+    std::get<protocol::WorkloadReply>(output.mMessages[0].mBody);
+  ASSERT_TRUE(fetched.mDelta);
+  EXPECT_EQ(fetched.mDelta->mQueues.size(), catalog.mQueues.size());
+  EXPECT_LT(protocol::Encode(fetched).size(), 100000U);
+}
+
+} // namespace
+} // namespace dogwooddrum::tests
--- /dev/null
+++ b/tests/error/WorkerAgentReports.cpp
@@ -0,0 +1,100 @@
+// Guards what an agent reports: an end must be reported at once, and also
+// after its target has left.
+#include "dogwooddrum/coordination/workloads/Scheduler.h"
+#include "dogwooddrum/coordination/workloads/WorkerAgent.h"
+
+#include <gtest/gtest.h>
+
+namespace dogwooddrum::tests {
+namespace {
+
+using namespace coordination::workloads;
+
+const protocol::TargetLife kLife{ "i-1", 1000 };
+const protocol::RunId kRun{ { protocol::WorkloadId("a"), 0, 0, 0 },
+                            protocol::RunNumber(1) };
+
+base::Time
+At(std::int64_t aMs)
+{
+  return base::Time(base::Milliseconds(aMs));
+}
+
+WorkerAgent
+MakeAgent()
+{
+  WorkerAgent agent({});
+  protocol::TargetFacts facts;
+  facts.mLife = kLife;
+  agent.OnAnnounced(facts, 1);
+  protocol::WorkerOrders orders;
+  orders.mTerm = base::Term(1);
+  orders.mSequence = 1;
+  orders.mLife = kLife;
+  orders.mLeaseUntilUs = 6000000;
+  orders.mStarts.push_back({ kRun, "payload", "" });
+  agent.OnOrders(orders, At(0));
+  return agent;
+}
+
+protocol::EndedTask
+Done()
+{
+  protocol::EndedTask ended;
+  ended.mNumber = 1;
+  ended.mRun = kRun;
+  ended.mEnd = protocol::RunEnd::Done;
+  return ended;
+}
+
+// A run that moved from running to ended went unnoticed, since both lists
+// name the same run; its end waited for the next report, 400 ms later.
+TEST(WorkerAgentReports, NoticesThatTheOnlyRunEnded)
+{
+  auto agent = MakeAgent();
+  EXPECT_TRUE(agent.OnListing(kLife, 0, {}, {}, At(10), At(11)));
+  EXPECT_TRUE(
+    agent.OnListing(kLife, 100, { { kRun, "", 100 } }, {}, At(110), At(111)));
+  EXPECT_FALSE(
+    agent.OnListing(kLife, 200, { { kRun, "", 100 } }, {}, At(210), At(211)));
+  EXPECT_TRUE(agent.OnListing(kLife, 300, {}, { Done() }, At(310), At(311)));
+}
+
+// The end of the last run was dropped when the target left, and the run was
+// started again elsewhere.
+TEST(WorkerAgentReports, KeepsTheLastEndsOfATargetThatLeft)
+{
+  auto agent = MakeAgent();
+  agent.OnListing(kLife, 300, {}, { Done() }, At(310), At(311));
+  agent.OnLeft(kLife.mInstance);
+  const auto report = agent.MakeReport(At(320));
+  EXPECT_FALSE(report.mTarget);
+  ASSERT_EQ(report.mPastLives.size(), 1U);
+  ASSERT_EQ(report.mPastLives[0].mEnded.size(), 1U);
+  EXPECT_EQ(report.mPastLives[0].mEnded[0].mRun, kRun);
+}
+
+TEST(WorkerAgentReports, SchedulerTakesAnEndOfATargetThatLeft)
+{
+  State state;
+  Accept accept;
+  accept.mRequest.mId = protocol::WorkloadId("a");
+  accept.mRequest.mSpec.mSteps.resize(1);
+  state.Apply(Change{ accept });
+  state.Apply(Change{ StartRuns{ { { kRun, kLife } } } });
+  Scheduler scheduler({}, state);
+  scheduler.BecomeLeader(base::Term(1), At(0));
+  auto agent = MakeAgent();
+  agent.OnListing(kLife, 300, {}, { Done() }, At(310), At(311));
+  agent.OnLeft(kLife.mInstance);
+  scheduler.OnReport(Session(1), agent.MakeReport(At(320)), At(321));
+  const auto output = scheduler.TakeOutput(At(321));
+  for (const Change& change : output.mChanges) {
+    state.Apply(change);
+  }
+  EXPECT_EQ(state.Find(protocol::WorkloadId("a"))->mPhase,
+            protocol::WorkloadPhase::Complete);
+}
+
+} // namespace
+} // namespace dogwooddrum::tests
--- /dev/null
+++ b/tests/platform/PlatformFormats.cpp
@@ -0,0 +1,286 @@
+// Guards the translation of the platform's calls: wrong names, units or status
+// codes would turn true refusals into false ones or lose constraints.
+#include "platform/Platform.h"
+
+#include <gtest/gtest.h>
+
+namespace dogwooddrum::tests {
+namespace {
+
+using daemon::CallKind;
+using daemon::OrderResult;
+using daemon::Refusal;
+using protocol::WorkloadReply;
+using protocol::WorkloadResult;
+using transport::HttpOutcome;
+using transport::ServerRequest;
+
+ServerRequest
+Request(const std::string& aMethod,
+        const std::string& aPath,
+        const std::string& aBody = "")
+{
+  ServerRequest request;
+  request.mMethod = aMethod;
+  request.mPath = aPath;
+  request.mBody = aBody;
+  return request;
+}
+
+HttpOutcome
+Answer(unsigned aStatus, const std::string& aBody)
+{
+  transport::HttpResponse response;
+  response.mStatus = aStatus;
+  response.mBody = aBody;
+  return { std::move(response) };
+}
+
+const protocol::TargetLife kLife{ "i-7f3a91c2", 5 };
+const protocol::RunId kRun{
+  { protocol::WorkloadId("5c0e7a21d94b36f8"), 0, 1, 17 },
+  protocol::RunNumber(2)
+};
+
+TEST(CallerCalls, ReadsHeadersAndMethods)
+{
+  const auto callers = platform::MakeCallerProtocol();
+  auto request = Request("POST", "/lohu930/5c0e7a21d94b36f8");
+  request.mHeaders = { { "host", "nony24.example:8521" },
+                       { "api-key", "d4a3" },
+                       { "dogwooddrum-deadline-ms", "2500" } };
+  const auto call = callers->Decode(request);
+  EXPECT_EQ(call.mKind, CallKind::Submit);
+  EXPECT_EQ(call.mHost, "nony24.example");
+  EXPECT_EQ(call.mKey, "d4a3");
+  EXPECT_EQ(call.mPatience, base::Milliseconds(2500));
+  EXPECT_EQ(callers->Decode(Request("GET", "/")).mKind, CallKind::Read);
+  EXPECT_EQ(callers->Decode(Request("DELETE", "/")).mKind, CallKind::Cancel);
+  EXPECT_TRUE(callers->IsWorkloadId("5c0e7a21d94b36f8"));
+  EXPECT_FALSE(callers->IsWorkloadId("5c0e7a21d94b36f"));
+  EXPECT_FALSE(callers->IsWorkloadId("5c0e7a21d94b36fx"));
+}
+
+TEST(CallerCalls, ReadsEachConstraintOfAStep)
+{
+  const auto spec = platform::MakeCallerProtocol()->DecodeWorkload(
+    R"({"spec":"text","repeat_count":2,"first_ms":10,"interval_ms":20,
+    "steps":[{"count":4,"cpu":500,"mem_mb":256,"gpu":2,"estimate_ms":900},
+    {"depends_on":[0],"checkpointing":true,"gang":true,"same_rack":true,
+     "required_label":"a","data_rack":"r1-3","max_per_server":3,
+     "speculative":true,"long_running":true,"fills":true,"may_miss":1,
+     "target_ms":50,"image":"x","unknown":1}]})");
+  ASSERT_TRUE(spec);
+  EXPECT_EQ(spec->mPayload, "text");
+  EXPECT_EQ(spec->mRepeatCount, 2U);
+  EXPECT_EQ(spec->mFirstMs, 10);
+  EXPECT_EQ(spec->mIntervalMs, 20);
+  const auto& first = spec->mSteps[0];
+  EXPECT_EQ(first.mCount, 4U);
+  EXPECT_EQ(first.mEach.mMilliCores, 500U);
+  EXPECT_EQ(first.mEach.mMemoryMb, 256U);
+  EXPECT_EQ(first.mEach.mAccelerators, 2U);
+  EXPECT_EQ(first.mEstimateMs, 900U);
+  const auto& second = spec->mSteps[1];
+  EXPECT_EQ(second.mCount, 1U);
+  EXPECT_EQ(second.mDependsOn, std::vector<std::uint32_t>{ 0 });
+  EXPECT_TRUE(second.mCheckpointing && second.mGang && second.mSameRack &&
+              second.mSpeculative && second.mLongRunning && second.mFillsIdle);
+  EXPECT_EQ(second.mRequiredLabel, "a");
+  EXPECT_EQ(second.mDataRack.Value(), "r1-3");
+  EXPECT_EQ(second.mMaxPerWorker, 3U);
+  EXPECT_EQ(second.mMayMiss, 1U);
+  EXPECT_EQ(second.mLatencyTargetMs, 50U);
+  EXPECT_EQ(second.mImage, "x");
+}
+
+TEST(CallerCalls, RefusesWhatCannotBeRead)
+{
+  const auto callers = platform::MakeCallerProtocol();
+  for (const char* body : { "",
+                            "[]",
+                            "{\"steps\":1}",
+                            "{\"steps\":[1]}",
+                            R"({"steps":[{"count":-1}]})",
+                            R"({"steps":[{"gang":1}]})",
+                            "{\"steps\":[" }) {
+    EXPECT_FALSE(callers->DecodeWorkload(body)) << body;
+  }
+}
+
+TEST(CallerCalls, TellWhetherTheWorkloadMayRun)
+{
+  const auto callers = platform::MakeCallerProtocol();
+  WorkloadReply reply;
+  const auto status = [&](CallKind aKind, WorkloadResult aResult) {
+    reply.mResult = aResult;
+    return callers->Render(aKind, reply).mStatus;
+  };
+  EXPECT_EQ(status(CallKind::Submit, WorkloadResult::Accepted), 200U);
+  EXPECT_EQ(status(CallKind::Submit, WorkloadResult::Unknown), 404U);
+  EXPECT_EQ(status(CallKind::Submit, WorkloadResult::Refused), 503U);
+  EXPECT_EQ(status(CallKind::Submit, WorkloadResult::Uncertain), 504U);
+  EXPECT_EQ(status(CallKind::Read, WorkloadResult::Unknown), 410U);
+  EXPECT_EQ(status(CallKind::Cancel, WorkloadResult::Unknown), 410U);
+  EXPECT_EQ(callers->Render(Refusal::UnknownKey).mStatus, 401U);
+  EXPECT_EQ(callers->Render(Refusal::UnknownQueue).mStatus, 404U);
+  // 504 leaves open what 503 rules out.
+  EXPECT_EQ(callers->Render(Refusal::TimedOut).mStatus, 504U);
+  const auto later = callers->Render(Refusal::NotReady);
+  EXPECT_EQ(later.mStatus, 503U);
+  ASSERT_EQ(later.mHeaders.size(), 1U);
+  EXPECT_EQ(later.mHeaders[0].first, "Retry-After");
+}
+
+constexpr const char* kConfig =
+  R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",
+  "timeout_ms":3000,"target_runtime_ms":250,"priority":0,"service":"s",
+  "max_attempts":2,"slack_factor":1.5,"public":false}],
+  "services":[{"name":"s"}],"limits":{"max_body_bytes":262144},
+  "tenants":[{"name":"t","api_keys":["k1","k2"],"guaranteed":{"gpu":16}}]})";
+
+TEST(OperatorCalls, ReadsAConfiguration)
+{
+  const auto operators = platform::MakeOperatorProtocol();
+  const auto call = operators->Decode(Request("PUT", "/-/config", kConfig));
+  const auto* replace = std::get_if<protocol::ReplaceCatalog>(&call);
+  ASSERT_NE(replace, nullptr);
+  const auto& catalog = replace->mCatalog;
+  EXPECT_EQ(catalog.mVersion.Value(), 7U);
+  EXPECT_EQ(catalog.mQueues[0].mSlackPermille, 1500U);
+  EXPECT_EQ(catalog.mQueues[0].mMaxAttempts, 2U);
+  EXPECT_EQ(catalog.mAccounts[0].mGuaranteedAccelerators, 16U);
+  EXPECT_EQ(catalog.mLimits.mBodyBytes, 262144U);
+  EXPECT_EQ(catalog.mSource, kConfig) << "a read returns it as it was sent";
+}
+
+TEST(OperatorCalls, RefusesAnInvalidConfiguration)
+{
+  const auto operators = platform::MakeOperatorProtocol();
+  const std::string good = kConfig;
+  const auto with = [&](const std::string& aOld, const std::string& aNew) {
+    auto text = good;
+    return text.replace(text.find(aOld), aOld.size(), aNew);
+  };
+  const std::vector<std::string> bad = {
+    good.substr(0, good.size() / 2),
+    with("\"service\":\"s\"", "\"service\":\"x\""),
+    with("\"timeout_ms\":3000", "\"timeout_ms\":0"),
+    with("\"version\":7,", ""),
+    with("[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":16}}",
+         "[\"k1\"]},{\"name\":\"u\",\"api_keys\":[\"k1\"]}"),
+  };
+  for (const auto& body : bad) {
+    const auto call = operators->Decode(Request("PUT", "/-/config", body));
+    const auto* response = std::get_if<transport::ServerResponse>(&call);
+    ASSERT_NE(response, nullptr) << body;
+    EXPECT_EQ(response->mStatus, 400U) << body;
+  }
+}
+
+TEST(OperatorCalls, RedirectsToTheLeader)
+{
+  const auto response = platform::MakeOperatorProtocol()->Redirect(
+    { "10.0.0.4", 8080 }, Request("GET", "/-/config"));
+  EXPECT_EQ(response.mStatus, 307U);
+  EXPECT_EQ(response.mHeaders[0].second, "http://10.0.0.4:8080/-/config");
+}
+
+TEST(TargetCalls, ReadsAnAnnouncement)
+{
+  const auto targets = platform::MakeTargetProtocol();
+  const auto announced = targets->Decode(Request(
+    "PUT",
+    "/-/instances/i-7f3a91c2",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","state":"draining",
+    "capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},"labels":["a","r1-3"],
+    "seq":4,"born":77,"remaining_ms":900})"));
+  ASSERT_TRUE(announced);
+  EXPECT_EQ(announced->mFacts.mLife.mInstance, "i-7f3a91c2");
+  EXPECT_EQ(announced->mFacts.mLife.mBornMs, 77);
+  EXPECT_TRUE(announced->mFacts.mLeaving);
+  EXPECT_EQ(announced->mFacts.mRack.Value(), "r1-3");
+  EXPECT_EQ(announced->mFacts.mCapacity.mAccelerators, 8U);
+  EXPECT_EQ(announced->mFacts.mRemainingMs, 900U);
+  EXPECT_EQ(announced->mSequence, 4U);
+  EXPECT_EQ(announced->mAddress.mPort, 8080);
+  const auto left =
+    targets->Decode(Request("DELETE", "/-/instances/i-7f3a91c2"));
+  ASSERT_TRUE(left);
+  EXPECT_TRUE(left->mLeft);
+}
+
+TEST(TargetCalls, RefusesOtherWritersMessages)
+{
+  const auto targets = platform::MakeTargetProtocol();
+  for (
+    const char* body :
+    { "",
+      "{",
+      "{}",
+      R"({"service":"s","state":"gone"})",
+      R"({"service":"s","state":"ready","capacity":1,"addr":"1.1.1.1:1"})",
+      R"({"service":"s","state":"ready","capacity":{},"addr":"nowhere"})" }) {
+    EXPECT_FALSE(targets->Decode(Request("PUT", "/-/instances/i-1", body)))
+      << body;
+  }
+  EXPECT_FALSE(targets->Decode(Request("PUT", "/-/instances/", "{}")));
+}
+
+TEST(TargetCalls, EncodesOrders)
+{
+  const auto targets = platform::MakeTargetProtocol();
+  const auto start =
+    targets->EncodeStart({ kRun, "text", "cp" }, base::Term(7), 486000, kLife);
+  EXPECT_EQ(start.mTarget, "/-/run-start");
+  EXPECT_EQ(start.mBody,
+            R"({"checkpoint":"cp","deadline_ms":486000,"fencing_token":7,)"
+            R"("run":2,"spec":"text","task":"5c0e7a21d94b36f8.0.1.17"})");
+  EXPECT_EQ(start.mHeaders.at("Dogwooddrum-Expect-Instance"), "i-7f3a91c2");
+  const auto hold =
+    targets->EncodeHold({ base::Term(7), 57, 486000, {} }, kLife);
+  EXPECT_EQ(hold.mBody,
+            R"({"ack_cursor":57,"deadline_ms":486000,"fencing_token":7})");
+}
+
+TEST(TargetCalls, ReadsListsOfThisLifeOnly)
+{
+  const auto targets = platform::MakeTargetProtocol();
+  const std::string body =
+    R"({"clock_ms":482113,"born":5,
+    "running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41]],
+    "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"lapsed",""]]})";
+  const auto listing = targets->DecodeHold(Answer(200, body), kLife);
+  ASSERT_TRUE(listing);
+  EXPECT_EQ(listing->mClockMs, 482113);
+  EXPECT_TRUE(listing->mRunning[0].mRun == kRun);
+  EXPECT_EQ(listing->mRunning[0].mCheckpoint, "cp");
+  EXPECT_EQ(listing->mEnded[0].mNumber, 58U);
+  EXPECT_EQ(listing->mEnded[0].mEnd, protocol::RunEnd::Lapsed);
+  EXPECT_FALSE(targets->DecodeHold(Answer(200, body), { "i-7f3a91c2", 6 }));
+  EXPECT_FALSE(targets->DecodeHold(Answer(200, "{\"running\":[[1]]}"), kLife));
+}
+
+TEST(TargetCalls, ReadsHowAnOrderWasTaken)
+{
+  const auto targets = platform::MakeTargetProtocol();
+  const auto result = [&](unsigned aStatus, const char* aBody) {
+    return targets->DecodeOrder(Answer(aStatus, aBody)).mResult;
+  };
+  EXPECT_EQ(result(200, "{}"), OrderResult::Done);
+  EXPECT_EQ(result(409, R"({"reason":"fence"})"), OrderResult::StaleToken);
+  EXPECT_EQ(result(409, R"({"reason":"late"})"), OrderResult::TooLate);
+  EXPECT_EQ(result(409, R"({"reason":"old"})"), OrderResult::Superseded);
+  EXPECT_EQ(result(409, R"({"reason":"room"})"), OrderResult::Refused);
+  EXPECT_EQ(result(421, ""), OrderResult::OtherLife);
+  EXPECT_EQ(result(503, ""), OrderResult::Refused);
+  EXPECT_EQ(result(500, ""), OrderResult::NoAnswer);
+  HttpOutcome lost(base::Failure{ base::Reason::LinkSilent, "lost" });
+  lost.mMayHaveLeft = true;
+  EXPECT_EQ(targets->DecodeOrder(lost).mResult, OrderResult::NoAnswer);
+  lost.mMayHaveLeft = false;
+  EXPECT_EQ(targets->DecodeOrder(lost).mResult, OrderResult::NotSent);
+}
+
+} // namespace
+} // namespace dogwooddrum::tests
