--- /dev/null
+++ b/tests/platform/soak/FakeTarget.cpp
@@ -0,0 +1,222 @@
+#include "tests/platform/soak/FakeTarget.h"
+
+#include "dogwooddrum/daemon/Clock.h"
+
+namespace dogwooddrum::tests {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kCores = 64000;
+constexpr int kCoresOfTask = 16000;
+/** Share of orders that get no answer, in percent; half are carried out. */
+constexpr unsigned kUnansweredPercent = 5;
+constexpr unsigned kFailingPercent = 3;
+
+std::int64_t
+ClockMs()
+{
+  return base::ToMilliseconds(daemon::Now());
+}
+
+} // namespace
+
+FakeTarget::FakeTarget(transport::Network& aNetwork,
+                       const transport::Address& aAddress,
+                       std::string aName,
+                       TargetLedger& aLedger,
+                       std::uint64_t aSeed)
+  : mAddress(aAddress)
+  , mName(std::move(aName))
+  , mLedger(aLedger)
+  , mRandom(aSeed)
+  , mBornMs(daemon::UnixNowMs())
+{
+  auto server = transport::HttpServer::Listen(
+    aNetwork,
+    aAddress,
+    {},
+    [this](const transport::ServerRequest& aRequest,
+           const transport::ServerResponder& aResponder) {
+      aResponder(Handle(aRequest));
+    });
+  mServer = std::move(*server);
+}
+
+std::pair<std::string, std::string>
+FakeTarget::Heartbeat()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const Json body = {
+    { "service", "s" },
+    { "addr", mAddress.mHost + ":" + std::to_string(mAddress.mPort) },
+    { "zone", "z" },
+    { "state", "ready" },
+    { "capacity", { { "cpu", kCores }, { "mem_mb", 65536 }, { "gpu", 8 } } },
+    { "labels", { "a", "r1" } },
+    { "seq", ++mSequence },
+    { "born", mBornMs }
+  };
+  return { "/-/instances/" + mName, body.dump() };
+}
+
+void
+FakeTarget::Restart()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const std::lock_guard<std::mutex> ledger(mLedger.mMutex);
+  for (const auto& [task, run] : mRuns) {
+    mLedger.mRunning.erase(task);
+  }
+  mRuns.clear();
+  mClosed.clear();
+  mEnded = Json::array();
+  mLastEnd = 0;
+  mSequence = 0;
+  mToken = 0;
+  mLeaseUntilMs = 0;
+  mBornMs = daemon::UnixNowMs();
+}
+
+transport::ServerResponse
+FakeTarget::Handle(const transport::ServerRequest& aRequest)
+{
+  transport::ServerResponse response;
+  const auto body = Json::parse(aRequest.mBody, nullptr, false);
+  if (!body.is_object()) {
+    response.mStatus = 400;
+    return response;
+  }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Advance();
+  // 500 stands for no answer: the order may or may not have been carried out.
+  const bool unanswered = mRandom() % 100 < kUnansweredPercent;
+  if (unanswered && mRandom() % 2 == 0) {
+    response.mStatus = 500;
+    return response;
+  }
+  Json answer = { { "clock_ms", ClockMs() }, { "born", mBornMs } };
+  const auto token = body.value("fencing_token", std::uint64_t(0));
+  if (token < mToken) {
+    response.mStatus = 409;
+    answer["reason"] = "fence";
+  } else {
+    mToken = token;
+    if (aRequest.mPath == "/-/run-start") {
+      response.mStatus = Start(body, answer);
+    } else if (aRequest.mPath == "/-/run-stop") {
+      Stop(body);
+    } else {
+      Hold(body, answer);
+    }
+  }
+  response.mStatus = unanswered ? 500 : response.mStatus;
+  response.mBody = answer.dump();
+  return response;
+}
+
+unsigned
+FakeTarget::Start(const Json& aBody, Json& aAnswer)
+{
+  const std::string task = aBody.at("task");
+  const std::uint32_t number = aBody.at("run");
+  const std::int64_t lease = aBody.at("deadline_ms");
+  const auto it = mRuns.find(task);
+  if (it != mRuns.end() && it->second.mNumber == number) {
+    return 200;
+  }
+  if (lease <= ClockMs()) {
+    aAnswer["reason"] = "late";
+    return 409;
+  }
+  if (mClosed.count(task) > 0 && number <= mClosed[task]) {
+    aAnswer["reason"] = "old";
+    return 409;
+  }
+  mLeaseUntilMs = std::max(mLeaseUntilMs, lease);
+  const std::lock_guard<std::mutex> ledger(mLedger.mMutex);
+  const auto violate = [&](const std::string& aWhat) {
+    mLedger.mViolations.push_back(mName + ": " + task + " " + aWhat);
+  };
+  if (mLedger.mRunning.count(task) > 0) {
+    violate("starts while it runs on " + mLedger.mRunning[task]);
+  }
+  if (mLedger.mNoted.count(task) > 0) {
+    violate("starts after its end was acknowledged");
+  }
+  if ((mRuns.size() + 1) * kCoresOfTask > kCores) {
+    violate("starts beyond the target's room");
+  }
+  ++mLedger.mStarts[task];
+  mLedger.mRunning[task] = mName;
+  const bool fails = mRandom() % 100 < kFailingPercent;
+  mRuns[task] = { number,
+                  ClockMs() + static_cast<std::int64_t>(200 + mRandom() % 3000),
+                  fails ? "failed" : "done" };
+  return 200;
+}
+
+void
+FakeTarget::Stop(const Json& aBody)
+{
+  const std::string task = aBody.at("task");
+  const std::uint32_t number = aBody.at("run");
+  mClosed[task] = std::max(mClosed[task], number);
+  const auto it = mRuns.find(task);
+  if (it != mRuns.end() && it->second.mNumber <= number) {
+    it->second.mEndsMs = std::min(it->second.mEndsMs, ClockMs() + 200);
+    it->second.mHow = "stopped";
+  }
+}
+
+void
+FakeTarget::Hold(const Json& aBody, Json& aAnswer)
+{
+  mLeaseUntilMs =
+    std::max(mLeaseUntilMs, aBody.value("deadline_ms", std::int64_t(0)));
+  const std::uint64_t acknowledged = aBody.at("ack_cursor");
+  Json left = Json::array();
+  for (const Json& ended : mEnded) {
+    if (ended[0].get<std::uint64_t>() > acknowledged) {
+      left.push_back(ended);
+    } else if (ended[3] == "done") {
+      const std::lock_guard<std::mutex> ledger(mLedger.mMutex);
+      mLedger.mNoted.insert(ended[1].get<std::string>());
+    }
+  }
+  mEnded = std::move(left);
+  aAnswer["running"] = Json::array();
+  for (const auto& [task, run] : mRuns) {
+    aAnswer["running"].push_back({ task, run.mNumber, "", 100 });
+  }
+  aAnswer["ended"] = mEnded;
+}
+
+void
+FakeTarget::Advance()
+{
+  const bool lapsed = mLeaseUntilMs <= ClockMs();
+  std::vector<std::pair<std::string, std::string>> due;
+  for (const auto& [task, run] : mRuns) {
+    if (lapsed || run.mEndsMs <= ClockMs()) {
+      due.emplace_back(task, lapsed ? "lapsed" : run.mHow);
+    }
+  }
+  for (const auto& [task, how] : due) {
+    End(task, how);
+  }
+}
+
+void
+FakeTarget::End(const std::string& aTask, const std::string& aHow)
+{
+  const auto it = mRuns.find(aTask);
+  mClosed[aTask] = std::max(mClosed[aTask], it->second.mNumber);
+  mEnded.push_back({ ++mLastEnd, aTask, it->second.mNumber, aHow, "" });
+  mRuns.erase(it);
+  const std::lock_guard<std::mutex> ledger(mLedger.mMutex);
+  mLedger.mRunning.erase(aTask);
+}
+
+} // namespace dogwooddrum::tests
--- /dev/null
+++ b/tests/platform/soak/Soak.cpp
@@ -0,0 +1,467 @@
+// Soak: the real programs as processes on loopback, with fake targets. Usage:
+// Soak SEED SECONDS. Kills, pauses, stops and restarts processes, wipes a
+// control member's disk and restarts targets, in series that overlap, while
+// callers submit; then checks that every accepted workload ends, that nothing
+// ran twice or beyond its room, and that the configuration is the newest one.
+#include "dogwooddrum/daemon/Clock.h"
+#include "dogwooddrum/transport/HttpClient.h"
+#include "tests/platform/soak/FakeTarget.h"
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace dogwooddrum::tests {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr int kControls = 3;
+constexpr int kEntries = 2;
+constexpr int kAgents = 4;
+constexpr std::int64_t kHeartbeatMs = 300;
+/** Time in which the system has to finish everything without faults. */
+constexpr std::int64_t kCalmMs = 60000;
+
+enum class Kind
+{
+  Control,
+  Entry,
+  Agent,
+  Target,
+};
+
+/** The whole system of one run. */
+class Soak
+{
+public:
+  explicit Soak(std::uint64_t aSeed)
+    : mRandom(aSeed)
+    , mPort(static_cast<std::uint16_t>(20000 + (::getpid() * 37) % 20000))
+    , mNetwork(2)
+  {
+    std::string name =
+      (std::filesystem::temp_directory_path() / "dogwooddrum-soak-XXXXXX")
+        .string();
+    mFolder = ::mkdtemp(name.data());
+    for (int i = 0; i < kAgents; ++i) {
+      mTargets.push_back(std::make_unique<FakeTarget>(
+        mNetwork,
+        transport::Address{ Ip(Kind::Target, i), mPort },
+        "i-" + std::to_string(i),
+        mLedger,
+        aSeed + static_cast<std::uint64_t>(i)));
+    }
+    ForEachProcess([this](const std::string& aName) { Start(aName); });
+    mBootstrap = false;
+    mHeartbeats = std::thread([this] { SendHeartbeats(); });
+  }
+
+  ~Soak()
+  {
+    mStopped = true;
+    mHeartbeats.join();
+    ForEachProcess([this](const std::string& aName) { Kill(aName); });
+    mTargets.clear();
+    mNetwork.Stop();
+    if (mClean) {
+      std::filesystem::remove_all(mFolder);
+    }
+  }
+
+  /** Returns whether all promises were kept. */
+  bool Run(std::int64_t aSeconds)
+  {
+    if (!Wait(20000, [this] { return PutConfiguration(); })) {
+      return Report("the first configuration was not accepted in 20 s");
+    }
+    const auto end = NowMs() + aSeconds * 1000;
+    auto nextFault = NowMs() + 2000;
+    while (NowMs() < end) {
+      if (NowMs() >= nextFault) {
+        Disturb();
+        nextFault = NowMs() + 300 + static_cast<int>(mRandom() % 1500);
+      }
+      SubmitOne();
+      Recover(false);
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    Recover(true);
+    const bool ended = Wait(kCalmMs, [this] { return AllEnded(); });
+    return Check(ended);
+  }
+
+private:
+  static std::int64_t NowMs() { return base::ToMilliseconds(daemon::Now()); }
+
+  template<typename F>
+  static bool Wait(std::int64_t aMs, const F& aDone)
+  {
+    const auto end = NowMs() + aMs;
+    while (!aDone()) {
+      if (NowMs() >= end) {
+        return false;
+      }
+      std::this_thread::sleep_for(milliseconds(200));
+    }
+    return true;
+  }
+
+  static std::string Ip(Kind aKind, int aIndex)
+  {
+    return "127.0." + std::to_string(10 + static_cast<int>(aKind)) + "." +
+           std::to_string(aIndex + 1);
+  }
+
+  template<typename F>
+  static void ForEachProcess(const F& aDo)
+  {
+    for (int i = 0; i < kControls; ++i) {
+      aDo("control" + std::to_string(i));
+    }
+    for (int i = 0; i < kEntries; ++i) {
+      aDo("entry" + std::to_string(i));
+    }
+    for (int i = 0; i < kAgents; ++i) {
+      aDo("agent" + std::to_string(i));
+    }
+  }
+
+  std::string At(Kind aKind, int aIndex, int aOffset = 0) const
+  {
+    return Ip(aKind, aIndex) + ":" + std::to_string(mPort + aOffset);
+  }
+
+  void WriteSettings(const std::string& aName) const
+  {
+    const std::string role = aName.substr(0, aName.size() - 1);
+    const int index = aName.back() - '0';
+    std::string seeds;
+    for (int i = 0; i < kControls; ++i) {
+      seeds += (i == 0 ? "" : ",") + At(Kind::Control, i, 1);
+    }
+    const Kind kind = role == "control" ? Kind::Control
+                      : role == "entry" ? Kind::Entry
+                                        : Kind::Agent;
+    std::ofstream out(mFolder + "/" + aName + ".ini");
+    out << "[common]\nrole = " << role << "\nname = " << aName
+        << "\nregion = r\nzone = z\nbind_address = " << Ip(kind, index)
+        << "\nhttp_port = " << mPort + 2
+        << "\nlink_port = " << (kind == Kind::Control ? mPort : 0)
+        << "\nkey = 0123456789abcdef\ndrain_delay_ms = 200\n"
+           "shutdown_limit_ms = 2000\n["
+        << role << "]\n";
+    if (kind == Kind::Control) {
+      out << "data_folder = " << mFolder << "/" << aName
+          << "\nseeds = " << seeds
+          << "\nbootstrap = " << (mBootstrap ? "true" : "false")
+          << "\noperator_address = " << At(kind, index, 1) << "\n";
+    } else {
+      out << "control_addresses = " << seeds
+          << "\ncontrol_link_port = " << mPort << "\n"
+          << (kind == Kind::Entry ? "frontend_address = "
+                                  : "announce_address = ")
+          << At(kind, index) << "\n";
+    }
+  }
+
+  void Start(const std::string& aName)
+  {
+    WriteSettings(aName);
+    std::vector<std::string> arguments = { DOGWOODDRUM_DAEMON,
+                                           "--settings",
+                                           mFolder + "/" + aName + ".ini" };
+    std::vector<char*> pointers;
+    for (auto& argument : arguments) {
+      pointers.push_back(argument.data());
+    }
+    pointers.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions,
+                                     STDERR_FILENO,
+                                     (mFolder + "/" + aName + ".log").c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND,
+                                     0600);
+    pid_t pid = -1;
+    if (posix_spawn(
+          &pid, pointers[0], &actions, nullptr, pointers.data(), environ) ==
+        0) {
+      mPids[aName] = pid;
+    }
+    posix_spawn_file_actions_destroy(&actions);
+  }
+
+  void Kill(const std::string& aName)
+  {
+    const auto it = mPids.find(aName);
+    if (it != mPids.end()) {
+      ::kill(it->second, SIGKILL);
+      ::waitpid(it->second, nullptr, 0);
+      mPids.erase(it);
+    }
+  }
+
+  std::string RandomProcess()
+  {
+    std::vector<std::string> names;
+    ForEachProcess([&](const std::string& aName) { names.push_back(aName); });
+    return names[mRandom() % names.size()];
+  }
+
+  void Disturb()
+  {
+    const std::string name = RandomProcess();
+    const auto kind = mRandom() % 5;
+    const auto until = NowMs() + 200 + static_cast<int>(mRandom() % 4000);
+    if (kind == 0) {
+      const auto target = mRandom() % mTargets.size();
+      std::printf("restart target %zu\n", static_cast<std::size_t>(target));
+      mTargets[target]->Restart();
+      return;
+    }
+    if (mPids.count(name) == 0 || mFaults.count(name) > 0) {
+      return;
+    }
+    mFaults[name] = until;
+    if (kind == 1) {
+      std::printf("pause %s\n", name.c_str());
+      ::kill(mPids[name], SIGSTOP);
+    } else if (kind == 2) {
+      std::printf("terminate %s\n", name.c_str());
+      ::kill(mPids[name], SIGTERM);
+    } else {
+      std::printf("kill %s\n", name.c_str());
+      Kill(name);
+      MaybeWipe(name);
+    }
+  }
+
+  /** One disk may be lost at a time, and the next only after the repair. */
+  void MaybeWipe(const std::string& aName)
+  {
+    constexpr std::int64_t kRepairMs = 12000;
+    const bool calm = mFaults.size() == 1;
+    if (aName.rfind("control", 0) == 0 && calm && NowMs() >= mNextWipe) {
+      std::printf("wipe %s\n", aName.c_str());
+      std::filesystem::remove_all(mFolder + "/" + aName);
+      mNextWipe = NowMs() + kRepairMs;
+    }
+  }
+
+  /** Ends faults whose time is over, and starts what has ended. */
+  void Recover(bool aAll)
+  {
+    for (auto it = mFaults.begin(); it != mFaults.end();) {
+      if (!aAll && NowMs() < it->second) {
+        ++it;
+        continue;
+      }
+      const auto process = mPids.find(it->first);
+      if (process != mPids.end()) {
+        ::kill(process->second, SIGCONT);
+      }
+      it = mFaults.erase(it);
+    }
+    ForEachProcess([&](const std::string& aName) {
+      const auto it = mPids.find(aName);
+      if (it != mPids.end() && ::waitpid(it->second, nullptr, WNOHANG) != 0) {
+        mPids.erase(it);
+      }
+      if (mPids.count(aName) == 0 && mFaults.count(aName) == 0) {
+        Start(aName);
+      }
+    });
+  }
+
+  transport::HttpOutcome Call(Kind aKind,
+                              int aIndex,
+                              int aOffset,
+                              const std::string& aMethod,
+                              const std::string& aPath,
+                              const std::string& aBody) const
+  {
+    transport::HttpClientOptions options;
+    options.mIp = Ip(aKind, aIndex);
+    options.mPort = static_cast<std::uint16_t>(mPort + aOffset);
+    transport::HttpClient client(options);
+    transport::HttpRequest request;
+    request.mMethod = aMethod;
+    request.mTarget = aPath;
+    request.mBody = aBody;
+    request.mHeaders["Host"] = "h";
+    request.mHeaders["Api-Key"] = "k";
+    return client.Call(request, base::Milliseconds(1000));
+  }
+
+  bool PutConfiguration()
+  {
+    const Json route = { { "name", "r" },          { "host", "h" },
+                         { "path_prefix", "/p/" }, { "service", "s" },
+                         { "timeout_ms", 3000 },   { "max_attempts", 4 } };
+    const Json body = {
+      { "version", 3 },
+      { "routes", Json::array({ route }) },
+      { "services", Json::array({ { { "name", "s" } } }) },
+      { "tenants",
+        Json::array({ { { "name", "t" }, { "api_keys", { "k" } } } }) }
+    };
+    mConfiguration = body.dump();
+    for (int i = 0; i < kControls; ++i) {
+      const auto outcome =
+        Call(Kind::Control, i, 1, "PUT", "/-/config", mConfiguration);
+      if (outcome && outcome->mStatus == 200) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void SubmitOne()
+  {
+    std::array<char, 17> id{};
+    std::snprintf(id.data(), id.size(), "%016llx", ++mLastId);
+    const Json step = { { "count", 1 + mRandom() % 3 },
+                        { "cpu", 16000 },
+                        { "mem_mb", 100 },
+                        { "estimate_ms", 1000 } };
+    const Json body = { { "spec", "x" }, { "steps", Json::array({ step }) } };
+    const auto outcome = Call(Kind::Entry,
+                              static_cast<int>(mRandom() % kEntries),
+                              0,
+                              "POST",
+                              std::string("/p/") + id.data(),
+                              body.dump());
+    if (outcome && outcome->mStatus == 200) {
+      mAccepted.insert(id.data());
+    } else if (outcome && outcome->mStatus == 503) {
+      mRejected.insert(id.data());
+    }
+  }
+
+  bool AllEnded()
+  {
+    for (auto it = mAccepted.begin(); it != mAccepted.end();) {
+      const auto outcome = Call(Kind::Entry, 0, 0, "GET", "/p/" + *it, "");
+      if (outcome && outcome->mStatus == 410) {
+        mLost.insert(*it);
+        it = mAccepted.erase(it);
+        continue;
+      }
+      const auto json =
+        outcome ? Json::parse(outcome->mBody, nullptr, false) : Json();
+      const std::string state =
+        json.is_object() ? json.value("state", "") : std::string();
+      if (state != "complete" && state != "failed") {
+        return false;
+      }
+      ++mEnded;
+      it = mAccepted.erase(it);
+    }
+    return true;
+  }
+
+  bool Report(const std::string& aWhat)
+  {
+    mClean = false;
+    std::printf("BROKEN: %s; logs in %s\n", aWhat.c_str(), mFolder.c_str());
+    return false;
+  }
+
+  bool Check(bool aEnded)
+  {
+    bool good = true;
+    if (!aEnded) {
+      good = Report(*mAccepted.begin() + " has not ended");
+    }
+    for (const auto& id : mLost) {
+      good = Report(id + " was accepted and is not known");
+    }
+    const std::lock_guard<std::mutex> lock(mLedger.mMutex);
+    for (const auto& violation : mLedger.mViolations) {
+      good = Report(violation);
+    }
+    for (const auto& id : mRejected) {
+      for (const auto& [task, starts] : mLedger.mStarts) {
+        if (task.rfind(id, 0) == 0) {
+          good = Report(id + " was refused as not run, and ran");
+        }
+      }
+    }
+    bool current = false;
+    for (int i = 0; i < kControls; ++i) {
+      const auto outcome = Call(Kind::Control, i, 1, "GET", "/-/config", "");
+      current = current || (outcome && outcome->mBody == mConfiguration);
+    }
+    if (!current) {
+      good = Report("no member shows the accepted configuration");
+    }
+    std::printf("%d workloads ended, %zu refused, %zu tasks started\n",
+                mEnded,
+                mRejected.size(),
+                mLedger.mStarts.size());
+    return good;
+  }
+
+  void SendHeartbeats()
+  {
+    while (!mStopped) {
+      for (int i = 0; i < kAgents; ++i) {
+        const auto [path, body] =
+          mTargets[static_cast<std::size_t>(i)]->Heartbeat();
+        Call(Kind::Agent, i, 0, "PUT", path, body);
+      }
+      std::this_thread::sleep_for(milliseconds(kHeartbeatMs));
+    }
+  }
+
+  std::mt19937_64 mRandom;
+  const std::uint16_t mPort;
+  std::string mFolder;
+  bool mBootstrap = true;
+  bool mClean = true;
+  transport::Network mNetwork;
+  TargetLedger mLedger;
+  std::vector<std::unique_ptr<FakeTarget>> mTargets;
+  std::map<std::string, pid_t> mPids;
+  std::map<std::string, std::int64_t> mFaults; ///< process to its end
+  std::int64_t mNextWipe = 0;
+  std::string mConfiguration;
+  unsigned long long mLastId = 0;
+  std::set<std::string> mAccepted;
+  std::set<std::string> mRejected;
+  std::set<std::string> mLost;
+  int mEnded = 0;
+  std::atomic<bool> mStopped{ false };
+  std::thread mHeartbeats;
+};
+
+} // namespace
+} // namespace dogwooddrum::tests
+
+int
+main(int aCount, char** aArguments)
+{
+  if (aCount != 3) {
+    std::fprintf(stderr, "usage: Soak SEED SECONDS\n");
+    return 2;
+  }
+  const auto seed = std::strtoull(aArguments[1], nullptr, 10);
+  const auto seconds = std::strtoll(aArguments[2], nullptr, 10);
+  dogwooddrum::tests::Soak soak(seed);
+  const bool good = soak.Run(seconds);
+  std::printf("seed %llu: %s\n", seed, good ? "kept all promises" : "BROKEN");
+  return good ? 0 : 1;
+}
