Hold the task and room of a run that a delayed order started

(1) A run that a target listed though it was not open in the replicated state kept neither its task from starting elsewhere nor its room. (2) After a change of leader, open runs of an earlier life under the same id were not moved to the present life. (3) The first call to a new life waited for the leader's fencing token; until then, orders to the earlier life were accepted.

Change: listed runs hold task and room; the fencing token is the start of the life, which the agent knows itself; a new leader moves runs of earlier lives. The virtual world renews on its own and at once after an announcement, as the daemon does with a thread of its own.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -129,6 +129,17 @@
   return gang;
 }
 
+/** Returns whether a target lists a run that is not open there in the
+ * replicated state: an order that was carried out late started it. It holds
+ * room, and its task must not start elsewhere, until the target lists its
+ * end. */
+bool
+IsStray(const Leading& aLeading, const TargetLife& aLife, const RunId& aRun)
+{
+  const auto it = aLeading.mRuns.find(aRun);
+  return it == aLeading.mRuns.end() || it->second.mTarget != aLife;
+}
+
 std::vector<WorkerView>
 MakeViews(const Leading& aLeading)
 {
@@ -154,6 +165,17 @@
     index.emplace(life, views.size());
     views.push_back(std::move(view));
   }
+  for (const auto& [life, worker] : aLeading.mWorkers) {
+    WorkerView& view = views[index.at(life)];
+    for (const auto& [run, running] : worker.mReported) {
+      const auto* workload = aLeading.mState->Find(run.mTask.mWorkload);
+      if (IsStray(aLeading, life, run) && workload != nullptr) {
+        const Room room = RoomFor(StepOf(*workload, run.mTask));
+        view.mFree = view.mFree - room;
+        view.mReleasing = view.mReleasing + room;
+      }
+    }
+  }
   for (const auto& [run, open] : aLeading.mRuns) {
     const auto it = index.find(open.mTarget);
     if (it == index.end()) {
@@ -198,6 +220,11 @@
     for (const auto& [run, open] : aLeading.mRuns) {
       mOpen.insert(run.mTask);
     }
+    for (const auto& [life, worker] : aLeading.mWorkers) {
+      for (const auto& [run, running] : worker.mReported) {
+        mOpen.insert(run.mTask);
+      }
+    }
   }
 
   void Collect(const WorkloadId& aId)
--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -71,6 +71,9 @@
   ForgetLife();
   mTarget = aFacts;
   mAnnounced = aSequence;
+  if (life.mBornMs > 0) {
+    mFence = std::max(mFence, protocol::FenceOf(life));
+  }
   return true;
 }
 
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -48,6 +48,23 @@
   }
 }
 
+/** Moves the open runs of all earlier lives under the id of aLife to it. A new
+ * leader knows these lives from the replicated runs only. */
+void
+StopRunsOfEarlierLives(Leading& aLeading, const TargetLife& aLife)
+{
+  std::set<TargetLife> earlier;
+  for (const auto& [run, open] : aLeading.mRuns) {
+    if (open.mTarget.mInstance == aLife.mInstance &&
+        open.mTarget.mBornMs < aLife.mBornMs) {
+      earlier.insert(open.mTarget);
+    }
+  }
+  for (const TargetLife& life : earlier) {
+    StopRunsInNextLife(aLeading, life, aLife);
+  }
+}
+
 /** aNext: the target's present life, or null if it has none. */
 void
 RemoveLife(Leading& aLeading, const TargetLife& aLife, const TargetLife* aNext)
@@ -68,8 +85,8 @@
   aLeading.mDecide = true;
 }
 
-/** Returns a token above all that earlier leaders and earlier lives had, so
- * that a late order to an earlier life is refused by the present one. */
+/** Returns a token above all that earlier leaders and earlier lives had, for a
+ * life whose start is not known. */
 protocol::FencingToken
 NextFence(Leading& aLeading)
 {
@@ -100,7 +117,9 @@
   const auto [it, isNew] = aLeading.mWorkers.try_emplace(life);
   Worker& worker = it->second;
   if (isNew) {
-    worker.mFence = NextFence(aLeading);
+    worker.mFence =
+      life.mBornMs > 0 ? protocol::FenceOf(life) : NextFence(aLeading);
+    StopRunsOfEarlierLives(aLeading, life);
   }
   if (worker.mAgent == aReport.mAgent &&
       aReport.mSequence <= worker.mReportSequence) {
@@ -342,6 +361,7 @@
            Note::Kind::WorkerLost,
            { { "target", life.mInstance }, { "agent", worker.mAgentName } });
       EndAllRuns(aLeading, life, RunEnd::Lapsed);
+      worker.mReported.clear(); // nothing outlasts its lease
       aLeading.mDecide = true;
     }
   }
--- a/dogwooddrum/protocol/Workload.h
+++ b/dogwooddrum/protocol/Workload.h
@@ -173,6 +173,16 @@
   }
 };
 
+/** Returns the fencing token for calls to a life. It rises from life to life
+ * of an id, so that the first call to a life makes its target refuse all
+ * delayed orders to earlier lives. An agent needs no leader to know it.
+ * Precondition: the life's start is known. Thread safe. */
+inline FencingToken
+FenceOf(const TargetLife& aLife)
+{
+  return FencingToken(static_cast<std::uint64_t>(aLife.mBornMs));
+}
+
 /** Where callers submit, and how what they submit is treated. */
 struct Queue
 {
--- /dev/null
+++ b/tests/error/DelayedStarts.cpp
@@ -0,0 +1,157 @@
+// Guards against a start order that a target carries out seconds after it was
+// given up: its task must not run twice, and it must not exceed the room.
+#include "dogwooddrum/coordination/workloads/Scheduler.h"
+#include "dogwooddrum/coordination/workloads/WorkerAgent.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace dogwooddrum::tests {
+namespace {
+
+using namespace coordination::workloads;
+using protocol::TargetLife;
+
+const TargetLife kEarlier{ "i-1", 1000 };
+const TargetLife kPresent{ "i-1", 2000 };
+const TargetLife kOther{ "i-2", 1000 };
+const protocol::TaskId kTask{ protocol::WorkloadId("a"), 0, 0, 0 };
+
+base::Time
+At(std::int64_t aMs)
+{
+  return base::Time(base::Milliseconds(aMs));
+}
+
+protocol::TargetFacts
+FactsOf(const TargetLife& aLife)
+{
+  protocol::TargetFacts facts;
+  facts.mLife = aLife;
+  facts.mPool = protocol::PoolName("pool");
+  facts.mCapacity = { 4000, 4000, 0 };
+  return facts;
+}
+
+protocol::WorkerReport
+ReportOf(const TargetLife& aLife, std::vector<protocol::RunId> aRunning)
+{
+  protocol::WorkerReport report;
+  report.mAgent = base::Incarnation(aLife.mInstance.back());
+  report.mAgentName = "agent of " + aLife.mInstance;
+  report.mSequence = 1;
+  report.mTarget = FactsOf(aLife);
+  report.mListed = true;
+  for (const auto& run : aRunning) {
+    report.mRunning.push_back({ run, "", 50 });
+  }
+  return report;
+}
+
+void
+AcceptWorkload(State& aState, const char* aId, std::uint64_t aMilliCores)
+{
+  Accept accept;
+  accept.mRequest.mId = protocol::WorkloadId(aId);
+  accept.mRequest.mQueue = protocol::QueueName("queue");
+  protocol::WorkloadStep step;
+  step.mCount = 1;
+  step.mEach = { aMilliCores, 100, 0 };
+  accept.mRequest.mSpec.mSteps.push_back(step);
+  aState.Apply(Change{ accept });
+}
+
+/** State of one queue and one workload "a" whose first run has ended. */
+State
+StateWithStoppedRun()
+{
+  State state;
+  Catalog catalog;
+  catalog.mVersion = protocol::CatalogVersion(1);
+  catalog.mPools.push_back({ protocol::PoolName("pool"), false, false });
+  protocol::Queue queue;
+  queue.mName = protocol::QueueName("queue");
+  queue.mPool = protocol::PoolName("pool");
+  queue.mMaxAttempts = 3;
+  catalog.mQueues.push_back(queue);
+  state.Apply(Change{ AdoptCatalog{ catalog } });
+  AcceptWorkload(state, "a", 3000);
+  const protocol::RunId run{ kTask, protocol::RunNumber(1) };
+  state.Apply(Change{ StartRuns{ { { run, kEarlier } } } });
+  state.Apply(Change{ EndRun{ run, RunEnd::Stopped, "", 0 } });
+  return state;
+}
+
+std::vector<StartRuns::Start>
+StartsOf(Scheduler& aScheduler, std::int64_t aMs)
+{
+  std::vector<StartRuns::Start> starts;
+  for (const Change& change : aScheduler.TakeOutput(At(aMs)).mChanges) {
+    if (const auto* start = std::get_if<StartRuns>(&change.mBody)) {
+      starts.insert(starts.end(), start->mStarts.begin(), start->mStarts.end());
+    }
+  }
+  return starts;
+}
+
+TEST(DelayedStarts, ListedRunKeepsItsTaskFromStartingElsewhere)
+{
+  const State state = StateWithStoppedRun();
+  Scheduler scheduler({}, state);
+  scheduler.BecomeLeader(base::Term(1), At(0));
+  const protocol::RunId run{ kTask, protocol::RunNumber(1) };
+  scheduler.OnReport(Session(1), ReportOf(kPresent, { run }), At(10));
+  scheduler.OnReport(Session(2), ReportOf(kOther, {}), At(10));
+  EXPECT_TRUE(StartsOf(scheduler, 20).empty());
+  // Once the target does not list it any more, the task starts.
+  auto next = ReportOf(kPresent, {});
+  next.mSequence = 2;
+  scheduler.OnReport(Session(1), next, At(30));
+  EXPECT_EQ(StartsOf(scheduler, 300).size(), 1U);
+}
+
+TEST(DelayedStarts, ListedRunHoldsItsRoom)
+{
+  State state = StateWithStoppedRun();
+  AcceptWorkload(state, "b", 3000);
+  Scheduler scheduler({}, state);
+  scheduler.BecomeLeader(base::Term(1), At(0));
+  const protocol::RunId run{ kTask, protocol::RunNumber(1) };
+  scheduler.OnReport(Session(1), ReportOf(kPresent, { run }), At(10));
+  EXPECT_TRUE(StartsOf(scheduler, 20).empty())
+    << "3000 of 4000 millicores are in use";
+}
+
+// A new leader knows an earlier life of a target from the replicated runs
+// only. It let their lease run out while the present life could still carry
+// out their starts.
+TEST(DelayedStarts, NewLeaderStopsRunsOfAnEarlierLifeInThePresentOne)
+{
+  State state = StateWithStoppedRun();
+  const protocol::RunId run{ kTask, protocol::RunNumber(2) };
+  state.Apply(Change{ StartRuns{ { { run, kEarlier } } } });
+  Scheduler scheduler({}, state);
+  scheduler.BecomeLeader(base::Term(2), At(0));
+  scheduler.OnReport(Session(1), ReportOf(kPresent, {}), At(10));
+  const auto output = scheduler.TakeOutput(At(20));
+  ASSERT_EQ(output.mMessages.size(), 1U);
+  const auto& orders =
+    std::get<protocol::WorkerOrders>(output.mMessages[0].mBody);
+  ASSERT_EQ(orders.mStops.size(), 1U);
+  EXPECT_TRUE(orders.mStops[0] == run);
+}
+
+// The first call to a new life waited for the leader's token, while a delayed
+// order to the earlier life was still accepted.
+TEST(DelayedStarts, AgentFencesANewLifeBeforeItsLeaderKnows)
+{
+  WorkerAgent agent({});
+  agent.OnAnnounced(FactsOf(kPresent), 1);
+  const auto renewal = agent.NextRenewal(At(10));
+  ASSERT_TRUE(renewal);
+  EXPECT_GT(renewal->mFence.Value(), protocol::FenceOf(kEarlier).Value());
+}
+
+} // namespace
+} // namespace dogwooddrum::tests
--- a/tests/support/WorkloadWorld.cpp
+++ b/tests/support/WorkloadWorld.cpp
@@ -428,19 +428,34 @@
   if (mNowMs >= worker.mNextAnnounce) {
     worker.mNextAnnounce = mNowMs + kAnnounceMs;
     worker.mAgent->OnAnnounced(target.mFacts, ++worker.mSequence);
+    worker.mNextHold = mNowMs; // an announcement wakes the renewals
   }
-  if (mNowMs < worker.mBusyUntil) {
-    return;
+  SendOrders(aWorker);
+  if (mNowMs >= worker.mNextHold) {
+    Renew(aWorker);
   }
-  while (const auto call = worker.mAgent->NextOrder(mNow)) {
-    CallTarget(aWorker, *call);
-    if (mNowMs < worker.mBusyUntil) {
+}
+
+void
+WorkloadWorld::SendOrders(std::size_t aWorker)
+{
+  const Worker& worker = *mWorkers[aWorker];
+  while (mNowMs >= worker.mBusyUntil) {
+    const auto call = worker.mAgent->NextOrder(mNow);
+    if (!call) {
       return;
     }
+    CallTarget(aWorker, *call);
   }
-  if (mNowMs < worker.mNextHold) {
-    return;
-  }
+}
+
+/** The daemon renews on a thread of its own: an order that is not answered
+ * does not hold a renewal up. */
+void
+WorkloadWorld::Renew(std::size_t aWorker)
+{
+  Worker& worker = *mWorkers[aWorker];
+  Target& target = *worker.mTarget;
   worker.mNextHold = mNowMs + kHoldMs / 5;
   const auto renewal = worker.mAgent->NextRenewal(mNow);
   if (renewal && renewal->mLife == target.mFacts.mLife &&
--- a/tests/support/WorkloadWorld.h
+++ b/tests/support/WorkloadWorld.h
@@ -87,6 +87,8 @@
   void Commit();
   void Deliver(coordination::workloads::SchedulerMessage aMessage);
   void RunWorker(std::size_t aWorker);
+  void SendOrders(std::size_t aWorker);
+  void Renew(std::size_t aWorker);
   void CallTarget(std::size_t aWorker,
                   const coordination::workloads::OrderCall& aCall);
   coordination::workloads::OrderOutcome Carry(
