Make room on one rack, and wait for it as long as a remote run costs

Stops were planned wherever they were cheapest, over all racks, so that no rack became free; after 1.5 s any gang took remote places, however long it ran.

Change: preemption is planned rack by rack while the unit waits for a near place. It waits as long as the remote run would take longer (twice the estimate), 1.5 s inside a guarantee, 2 s while much of the pool is idle, and not at all if no rack can hold it.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -510,13 +510,17 @@
       if (PlanPreemption(unit,
                          unit.mPriority,
                          std::numeric_limits<double>::infinity(),
-                         views)) {
+                         views,
+                         aLeading.mOptions.mPlacement)) {
         full = nullptr;
       }
       continue;
     }
-    if (const auto plan =
-          PlanPreemption(unit, unit.mPriority, AllowedLoss(unit), views)) {
+    if (const auto plan = PlanPreemption(unit,
+                                         unit.mPriority,
+                                         AllowedLoss(unit),
+                                         views,
+                                         aLeading.mOptions.mPlacement)) {
       full = nullptr;
       for (const RunId& run : plan->mStops) {
         StopRun(aLeading, run, "preempted");
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -90,28 +90,122 @@
   return racks;
 }
 
-/** Places all tasks on one rack: the one whose data is there, or else the
- * first that holds them. */
-std::optional<Assignment>
-PlaceOnOneRack(const Unit& aUnit, std::vector<WorkerView>& aWorkers)
+bool
+WantsOneRack(const Unit& aUnit)
+{
+  return aUnit.mStep->mGang && aUnit.mStep->mSameRack;
+}
+
+bool
+WantsNearPlace(const Unit& aUnit)
+{
+  return WantsOneRack(aUnit) || !aUnit.mStep->mDataRack.Value().empty();
+}
+
+/** Returns the racks that count as near: the one with the data, or each rack
+ * for a gang that wants to stay together. */
+std::vector<base::RackId>
+NearRacks(const Unit& aUnit, const std::vector<WorkerView>& aWorkers)
 {
-  const auto place = [&](const base::RackId& aRack) {
-    return PlaceEach(aUnit, aWorkers, [&](const WorkerView& aWorker) {
-      return aWorker.mRack == aRack && !aWorker.mSuspect;
-    });
-  };
   const base::RackId& data = aUnit.mStep->mDataRack;
   if (!data.Value().empty()) {
-    return place(data);
+    return { data };
   }
-  for (const base::RackId& rack : RacksOf(aWorkers)) {
-    if (auto assignment = place(rack)) {
+  const auto racks = RacksOf(aWorkers);
+  return { racks.begin(), racks.end() };
+}
+
+/** Places all tasks on one near rack. */
+std::optional<Assignment>
+PlaceNear(const Unit& aUnit, std::vector<WorkerView>& aWorkers)
+{
+  for (const base::RackId& rack : NearRacks(aUnit, aWorkers)) {
+    auto assignment =
+      PlaceEach(aUnit, aWorkers, [&](const WorkerView& aWorker) {
+        return aWorker.mRack == rack && !aWorker.mSuspect;
+      });
+    if (assignment) {
       return assignment;
     }
   }
   return std::nullopt;
 }
 
+/** Returns the views as if nothing ran. */
+std::vector<WorkerView>
+Emptied(std::vector<WorkerView> aWorkers)
+{
+  for (WorkerView& worker : aWorkers) {
+    worker.mFree = worker.mCapacity;
+  }
+  return aWorkers;
+}
+
+/** Returns the smallest share in use over the kinds of room of the pool. */
+double
+LeastShareInUse(const Unit& aUnit, const std::vector<WorkerView>& aWorkers)
+{
+  Room capacity;
+  Room free;
+  for (const WorkerView& worker : aWorkers) {
+    if (worker.mUsable && worker.mPool == aUnit.mPool) {
+      capacity = capacity + worker.mCapacity;
+      free = free + worker.mFree;
+    }
+  }
+  double least = 1;
+  for (const auto kind :
+       { &Room::mMilliCores, &Room::mMemoryMb, &Room::mAccelerators }) {
+    if (capacity.*kind > 0) {
+      least = std::min(least,
+                       1 - static_cast<double>(free.*kind) /
+                             static_cast<double>(capacity.*kind));
+    }
+  }
+  return least;
+}
+
+/** Returns whether the platform takes the pool for idle: there is room for the
+ * unit twice over, and less than half of some kind of room is in use. */
+bool
+IsIdleFor(const Unit& aUnit, const std::vector<WorkerView>& aWorkers)
+{
+  constexpr double kHalf = 0.5;
+  if (LeastShareInUse(aUnit, aWorkers) >= kHalf) {
+    return false;
+  }
+  auto scratch = aWorkers;
+  const auto anywhere = [](const WorkerView&) { return true; };
+  return PlaceEach(aUnit, scratch, anywhere) &&
+         PlaceEach(aUnit, scratch, anywhere);
+}
+
+/** Returns whether the unit still waits for a near place: a remote run would
+ * take longer by more than the unit has waited. */
+bool
+IsPatient(const Unit& aUnit,
+          const std::vector<WorkerView>& aWorkers,
+          const PlacementOptions& aOptions)
+{
+  if (!WantsNearPlace(aUnit)) {
+    return false;
+  }
+  const std::int64_t extraMs =
+    (aOptions.mRemotePenalty - 1) *
+    static_cast<std::int64_t>(aUnit.mStep->mEstimateMs);
+  const std::int64_t mostMs = aUnit.mGuaranteed ? aOptions.mGuaranteedPatienceMs
+                                                : aOptions.mMostPatienceMs;
+  if (aUnit.mWaitedMs >= std::min(extraMs, mostMs)) {
+    return false;
+  }
+  if (aUnit.mWaitedMs >= aOptions.mIdlePatienceMs &&
+      IsIdleFor(aUnit, aWorkers)) {
+    return false;
+  }
+  auto emptied = Emptied(aWorkers);
+  return PlaceNear(aUnit, emptied).has_value();
+}
+
 /** Returns the cheapest stops on aWorker after which aNeed fits. */
 std::optional<std::vector<const Victim*>>
 CheapestStops(const WorkerView& aWorker,
@@ -178,6 +272,68 @@
   }
 }
 
+struct CostedPlan
+{
+  PreemptionPlan mPlan;
+  double mLoss = 0; ///< core-seconds that the stops throw away
+};
+
+/** Plans stops on the workers that aAllowed accepts. */
+template<typename Allowed>
+std::optional<CostedPlan>
+PlanOn(const Unit& aUnit,
+       std::uint32_t aBelow,
+       double aAllowedLoss,
+       const std::vector<WorkerView>& aWorkers,
+       const Allowed& aAllowed)
+{
+  const Room need = RoomFor(*aUnit.mStep);
+  std::vector<std::size_t> indices;
+  std::vector<WorkerView> scratch;
+  for (std::size_t i = 0; i < aWorkers.size(); ++i) {
+    if (IsEligible(aUnit, aWorkers[i]) && !aWorkers[i].mSuspect &&
+        aAllowed(aWorkers[i])) {
+      indices.push_back(i);
+      scratch.push_back(aWorkers[i]);
+    }
+  }
+  auto stepTasks = aUnit.mStepTasks;
+  CostedPlan result;
+  std::set<RunId> stops;
+  for (std::size_t task = 0; task < aUnit.mTasks.size(); ++task) {
+    std::optional<std::size_t> best;
+    double bestLoss = 0;
+    std::vector<const Victim*> bestStops;
+    for (std::size_t i = 0; i < scratch.size(); ++i) {
+      double stopLoss = 0;
+      if (!HasStepRoom(aUnit, stepTasks, indices[i])) {
+        continue;
+      }
+      const auto found = CheapestStops(scratch[i], need, aBelow, stopLoss);
+      if (found && (!best || stopLoss < bestLoss)) {
+        best = i;
+        bestLoss = stopLoss;
+        bestStops = *found;
+      }
+    }
+    result.mLoss += bestLoss;
+    if (!best || result.mLoss > aAllowedLoss) {
+      return std::nullopt;
+    }
+    std::set<RunId> now;
+    for (const Victim* victim : bestStops) {
+      now.insert(victim->mGang.begin(), victim->mGang.end());
+    }
+    Release(scratch, now);
+    stops.insert(now.begin(), now.end());
+    scratch[*best].mFree = scratch[*best].mFree - need;
+    ++stepTasks[indices[*best]];
+    result.mPlan.mWorkers.push_back(indices[*best]);
+  }
+  result.mPlan.mStops.assign(stops.begin(), stops.end());
+  return result;
+}
+
 } // namespace
 
 Room
@@ -223,19 +379,12 @@
                 std::vector<WorkerView>& aWorkers,
                 const PlacementOptions& aOptions)
 {
-  const bool patient = aUnit.mWaitedMs < aOptions.mRackPatienceMs;
-  if (aUnit.mStep->mGang && aUnit.mStep->mSameRack) {
-    auto assignment = PlaceOnOneRack(aUnit, aWorkers);
-    if (assignment || patient) {
+  if (WantsNearPlace(aUnit)) {
+    auto assignment = PlaceNear(aUnit, aWorkers);
+    if (assignment || IsPatient(aUnit, aWorkers, aOptions)) {
       return assignment;
     }
   }
-  const base::RackId& data = aUnit.mStep->mDataRack;
-  if (!data.Value().empty() && patient) {
-    return PlaceEach(aUnit, aWorkers, [&](const WorkerView& aWorker) {
-      return aWorker.mRack == data;
-    });
-  }
   return PlaceEach(aUnit, aWorkers, [](const WorkerView&) { return true; });
 }
 
@@ -243,57 +392,42 @@
 PlanPreemption(const Unit& aUnit,
                std::uint32_t aBelow,
                double aAllowedLoss,
-               std::vector<WorkerView>& aWorkers)
+               std::vector<WorkerView>& aWorkers,
+               const PlacementOptions& aOptions)
 {
-  const Room need = RoomFor(*aUnit.mStep);
-  auto scratch = aWorkers;
-  auto stepTasks = aUnit.mStepTasks;
-  PreemptionPlan plan;
-  double loss = 0;
-  std::set<RunId> stops;
-  for (std::size_t task = 0; task < aUnit.mTasks.size(); ++task) {
-    std::optional<std::size_t> best;
-    double bestLoss = 0;
-    std::vector<const Victim*> bestStops;
-    for (std::size_t i = 0; i < scratch.size(); ++i) {
-      double stopLoss = 0;
-      if (!IsEligible(aUnit, scratch[i]) || scratch[i].mSuspect ||
-          !HasStepRoom(aUnit, stepTasks, i)) {
-        continue;
-      }
-      const auto found = CheapestStops(scratch[i], need, aBelow, stopLoss);
-      if (found && (!best || stopLoss < bestLoss)) {
-        best = i;
-        bestLoss = stopLoss;
-        bestStops = *found;
+  std::optional<CostedPlan> best;
+  if (IsPatient(aUnit, aWorkers, aOptions)) {
+    for (const base::RackId& rack : NearRacks(aUnit, aWorkers)) {
+      auto plan = PlanOn(
+        aUnit, aBelow, aAllowedLoss, aWorkers, [&](const WorkerView& aWorker) {
+          return aWorker.mRack == rack;
+        });
+      if (plan && (!best || plan->mLoss < best->mLoss)) {
+        best = std::move(plan);
       }
     }
-    loss += bestLoss;
-    if (!best || loss > aAllowedLoss) {
-      return std::nullopt;
-    }
-    std::set<RunId> now;
-    for (const Victim* victim : bestStops) {
-      now.insert(victim->mGang.begin(), victim->mGang.end());
-    }
-    Release(scratch, now);
-    stops.insert(now.begin(), now.end());
-    scratch[*best].mFree = scratch[*best].mFree - need;
-    ++stepTasks[*best];
-    plan.mWorkers.push_back(*best);
+  } else {
+    best = PlanOn(aUnit, aBelow, aAllowedLoss, aWorkers, [](const WorkerView&) {
+      return true;
+    });
   }
-  plan.mStops.assign(stops.begin(), stops.end());
-  aWorkers = std::move(scratch);
-  return plan;
+  if (!best) {
+    return std::nullopt;
+  }
+  const auto& stops = best->mPlan.mStops;
+  Release(aWorkers, { stops.begin(), stops.end() });
+  const Room need = RoomFor(*aUnit.mStep);
+  for (const std::size_t worker : best->mPlan.mWorkers) {
+    aWorkers[worker].mFree = aWorkers[worker].mFree - need;
+  }
+  return std::move(best->mPlan);
 }
 
 bool
 IsFeasible(const Unit& aUnit, std::vector<WorkerView> aWorkers)
 {
-  for (WorkerView& worker : aWorkers) {
-    worker.mFree = worker.mCapacity;
-  }
-  return PlaceEach(aUnit, aWorkers, [](const WorkerView&) { return true; })
+  auto emptied = Emptied(std::move(aWorkers));
+  return PlaceEach(aUnit, emptied, [](const WorkerView&) { return true; })
     .has_value();
 }
 
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -78,8 +78,17 @@
 
 struct PlacementOptions
 {
-  /** Time after which a slow rack is better than no rack. */
-  std::int64_t mRackPatienceMs = 1500;
+  /** How many times as long a task takes away from its data or its gang; the
+   * users' deployments all say 3. */
+  std::int64_t mRemotePenalty = 3;
+  /** Longest wait of guaranteed work for a near place; the platform wants it
+   * started within 2900 ms, and a stop takes 900 ms of that. */
+  std::int64_t mGuaranteedPatienceMs = 1500;
+  /** Longest wait for a near place while much of the pool is idle; the
+   * platform allows 3000 ms. */
+  std::int64_t mIdlePatienceMs = 2000;
+  /** Longest wait for a near place. */
+  std::int64_t mMostPatienceMs = 20000;
   /** Time that urgent work waits for room before others are stopped. With the
    * time of a stop (900 ms) it stays well below the 2900 ms within which
    * guaranteed capacity returns. */
@@ -107,15 +116,17 @@
 
 /**
  * Returns the cheapest stops of runs of a higher priority number than aBelow
- * that make room for the unit, and takes the unit's room out of aWorkers so
- * that nothing else gets it; or an empty optional, without a change, if there
- * are none or they throw more than aAllowedLoss core-seconds away.
+ * that make room for the unit, near its data or gang while it still waits for
+ * that, and takes the unit's room out of aWorkers so that nothing else gets
+ * it; or an empty optional, without a change, if there are none or they throw
+ * more than aAllowedLoss core-seconds away.
  */
 std::optional<PreemptionPlan>
 PlanPreemption(const Unit& aUnit,
                std::uint32_t aBelow,
                double aAllowedLoss,
-               std::vector<WorkerView>& aWorkers);
+               std::vector<WorkerView>& aWorkers,
+               const PlacementOptions& aOptions);
 
 /** Returns whether the unit would fit if its pool's workers were empty. */
 bool
