Keep headroom free of less urgent work for urgent work

Change: what urgent work asked for in the last 8 s is scaled to the 1.5 s that making room takes, and that much (at most 15% of the pool) is kept free of less urgent work, in whole workers of the emptiest racks, while half of the pool or more is in use.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -12,8 +12,6 @@
 constexpr base::Duration kDecisionInterval = base::Milliseconds(250);
 /** About what a stopped task needs to be at work again. */
 constexpr base::Duration kRestoreTime = base::Milliseconds(600);
-/** Cores that one accelerator counts for when work is thrown away. */
-constexpr double kCoresPerAccelerator = 8;
 
 const protocol::Queue*
 QueueOf(const Leading& aLeading, const WorkloadRecord& aWorkload)
@@ -86,14 +84,6 @@
   return guaranteed;
 }
 
-/** Returns the cores that a room counts for. */
-double
-CoresOf(const Room& aRoom)
-{
-  return static_cast<double>(aRoom.mMilliCores) / 1000 +
-         kCoresPerAccelerator * static_cast<double>(aRoom.mAccelerators);
-}
-
 /** Returns the core-seconds that a stop of the run throws away. */
 double
 LossOf(const Leading& aLeading, const RunId& aId, const OpenRun& aRun)
@@ -468,6 +458,23 @@
   }
 }
 
+void
+CountDemand(Leading& aLeading, const WorkloadId& aId)
+{
+  const auto* workload = aLeading.mState->Find(aId);
+  const auto* queue =
+    workload == nullptr ? nullptr : QueueOf(aLeading, *workload);
+  if (queue == nullptr || queue->mPriority > 0) {
+    return;
+  }
+  Room need;
+  const WorkloadStep& first = workload->mSpec.mSteps.front();
+  for (std::uint32_t i = 0; i < first.mCount; ++i) {
+    need = need + RoomFor(first);
+  }
+  aLeading.mUrgentDemand[queue->mPool].Add(need, aLeading.mNow);
+}
+
 void
 Decide(Leading& aLeading)
 {
@@ -489,11 +496,20 @@
                !aRight.mGuaranteed, aRight.mPriority, aRight.mUrgencyMs);
     });
   const WorkloadStep* full = nullptr; // no room for another task of this step
+  bool isHeld = false;
   StepCounts placed;
   for (Unit& unit : units) {
     if (unit.mStep == full) {
       continue;
     }
+    if (unit.mPriority > 0 && !unit.mStep->mLongRunning && !isHeld) {
+      isHeld = true;
+      for (auto& [pool, demand] : aLeading.mUrgentDemand) {
+        const auto& options = aLeading.mOptions.mHeadroom;
+        HoldHeadroom(
+          pool, demand.Headroom(aLeading.mNow, options), views, options);
+      }
+    }
     placed.AddTo(unit);
     if (const auto assignment =
           PlaceInFreeRoom(unit, views, aLeading.mOptions.mPlacement)) {
--- a/dogwooddrum/coordination/workloads/Leading.h
+++ b/dogwooddrum/coordination/workloads/Leading.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "dogwooddrum/coordination/workloads/Headroom.h"
 #include "dogwooddrum/coordination/workloads/Scheduler.h"
 
 #include <map>
@@ -81,6 +82,7 @@
   std::map<TargetLife, Worker> mWorkers;
   std::map<std::string, TargetLife> mByAgent;
   std::map<TaskId, base::Time> mReadySince;
+  std::map<protocol::PoolName, UrgentDemand> mUrgentDemand;
   std::map<TaskId, std::set<TargetLife>> mFailedOn;
   std::map<WorkloadId, std::vector<Waiter>> mSubmits;
   std::map<WorkloadId, std::vector<Waiter>> mCancels;
@@ -142,6 +144,9 @@
 
 // Decisions.
 
+/** Counts a workload as demand if it is urgent. */
+void
+CountDemand(Leading& aLeading, const WorkloadId& aId);
 /** Proposes starts and stops for what can run now. */
 void
 Decide(Leading& aLeading);
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -141,37 +141,13 @@
   return aWorkers;
 }
 
-/** Returns the smallest share in use over the kinds of room of the pool. */
-double
-LeastShareInUse(const Unit& aUnit, const std::vector<WorkerView>& aWorkers)
-{
-  Room capacity;
-  Room free;
-  for (const WorkerView& worker : aWorkers) {
-    if (worker.mUsable && worker.mPool == aUnit.mPool) {
-      capacity = capacity + worker.mCapacity;
-      free = free + worker.mFree;
-    }
-  }
-  double least = 1;
-  for (const auto kind :
-       { &Room::mMilliCores, &Room::mMemoryMb, &Room::mAccelerators }) {
-    if (capacity.*kind > 0) {
-      least = std::min(least,
-                       1 - static_cast<double>(free.*kind) /
-                             static_cast<double>(capacity.*kind));
-    }
-  }
-  return least;
-}
-
 /** Returns whether the platform takes the pool for idle: there is room for the
  * unit twice over, and less than half of some kind of room is in use. */
 bool
 IsIdleFor(const Unit& aUnit, const std::vector<WorkerView>& aWorkers)
 {
   constexpr double kHalf = 0.5;
-  if (LeastShareInUse(aUnit, aWorkers) >= kHalf) {
+  if (LeastShareInUse(aUnit.mPool, aWorkers) >= kHalf) {
     return false;
   }
   auto scratch = aWorkers;
@@ -363,6 +339,14 @@
            aLeft.mAccelerators - aRight.mAccelerators };
 }
 
+double
+CoresOf(const Room& aRoom)
+{
+  constexpr double kCoresPerAccelerator = 8;
+  return static_cast<double>(aRoom.mMilliCores) / 1000 +
+         kCoresPerAccelerator * static_cast<double>(aRoom.mAccelerators);
+}
+
 bool
 Fits(const Room& aNeed, const Room& aFree)
 {
@@ -423,6 +407,30 @@
   return std::move(best->mPlan);
 }
 
+double
+LeastShareInUse(const protocol::PoolName& aPool,
+                const std::vector<WorkerView>& aWorkers)
+{
+  Room capacity;
+  Room free;
+  for (const WorkerView& worker : aWorkers) {
+    if (worker.mUsable && worker.mPool == aPool) {
+      capacity = capacity + worker.mCapacity;
+      free = free + worker.mFree;
+    }
+  }
+  double least = 1;
+  for (const auto kind :
+       { &Room::mMilliCores, &Room::mMemoryMb, &Room::mAccelerators }) {
+    if (capacity.*kind > 0) {
+      least = std::min(least,
+                       1 - static_cast<double>(free.*kind) /
+                             static_cast<double>(capacity.*kind));
+    }
+  }
+  return least;
+}
+
 bool
 IsFeasible(const Unit& aUnit, std::vector<WorkerView> aWorkers)
 {
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -29,6 +29,9 @@
 operator+(const Room& aLeft, const Room& aRight);
 Room
 operator-(const Room& aLeft, const Room& aRight);
+/** Returns the cores that a room counts for in the platform's prices. */
+double
+CoresOf(const Room& aRoom);
 /** Returns whether aNeed fits into aFree. */
 bool
 Fits(const Room& aNeed, const Room& aFree);
@@ -128,6 +131,11 @@
                std::vector<WorkerView>& aWorkers,
                const PlacementOptions& aOptions);
 
+/** Returns the smallest share in use over the kinds of room of the pool. */
+double
+LeastShareInUse(const protocol::PoolName& aPool,
+                const std::vector<WorkerView>& aWorkers);
+
 /** Returns whether the unit would fit if its pool's workers were empty. */
 bool
 IsFeasible(const Unit& aUnit, std::vector<WorkerView> aWorkers);
--- a/dogwooddrum/coordination/workloads/Scheduler.cpp
+++ b/dogwooddrum/coordination/workloads/Scheduler.cpp
@@ -85,8 +85,8 @@
 
   void operator()(const Accept& aChange) const
   {
+    CountDemand(mLeading, aChange.mRequest.mId);
     mLeading.mDecide = true;
-    static_cast<void>(aChange);
   }
   void operator()(const Cancel& aChange) const
   {
--- a/dogwooddrum/coordination/workloads/Scheduler.h
+++ b/dogwooddrum/coordination/workloads/Scheduler.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "dogwooddrum/base/Time.h"
+#include "dogwooddrum/coordination/workloads/Headroom.h"
 #include "dogwooddrum/coordination/workloads/Placement.h"
 #include "dogwooddrum/coordination/workloads/State.h"
 
@@ -38,6 +39,7 @@
   /** Most workloads that have not ended. */
   std::size_t mMaxActive = 20000;
   PlacementOptions mPlacement;
+  HeadroomOptions mHeadroom;
 };
 
 /** A fact for the log; the host adds the event's number. */
--- a/tests/error/DelayedStarts.cpp
+++ b/tests/error/DelayedStarts.cpp
@@ -35,7 +35,7 @@
 }
 
 protocol::WorkerReport
-ReportOf(const TargetLife& aLife, std::vector<protocol::RunId> aRunning)
+ReportOf(const TargetLife& aLife, const std::vector<protocol::RunId>& aRunning)
 {
   protocol::WorkerReport report;
   report.mAgent = base::Incarnation(aLife.mInstance.back());
