Choose stops by what they cost, and let lasting tasks use the headroom

Headroom was also kept from lasting tasks, which the platform wants back at work however full the pool is.

Change: a lost core-second of the next more urgent priority counts three times when stops are compared; what may be thrown away in all stays as it was. Lasting tasks rank before other work that is not urgent.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -1,6 +1,7 @@
 #include "dogwooddrum/coordination/workloads/Leading.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
@@ -12,6 +13,9 @@
 constexpr base::Duration kDecisionInterval = base::Milliseconds(250);
 /** About what a stopped task needs to be at work again. */
 constexpr base::Duration kRestoreTime = base::Milliseconds(600);
+/** How much more a lost core-second of the next more urgent priority counts;
+ * the users value work of priority 1 three times as high as of priority 2. */
+constexpr double kPriorityWeight = 3;
 
 const protocol::Queue*
 QueueOf(const Leading& aLeading, const WorkloadRecord& aWorkload)
@@ -97,6 +101,21 @@
   return static_cast<double>(base::ToMilliseconds(lost)) / 1000 *
          CoresOf(aRun.mRoom);
 }
+
+/** Returns the highest priority number of a queue or an open run. */
+std::uint32_t
+LeastUrgentPriority(const Leading& aLeading)
+{
+  std::uint32_t least = 0;
+  for (const auto& queue : aLeading.mState->CurrentCatalog().mQueues) {
+    least = std::max(least, queue.mPriority);
+  }
+  for (const auto& [run, open] : aLeading.mRuns) {
+    least = std::max(least, open.mPriority);
+  }
+  return least;
+}
+
 /** Returns all open runs of the gang of aRun, or aRun alone. */
 std::vector<RunId>
 GangOf(const Leading& aLeading, const RunId& aRun)
@@ -133,6 +152,7 @@
 std::vector<WorkerView>
 MakeViews(const Leading& aLeading)
 {
+  const std::uint32_t leastUrgent = LeastUrgentPriority(aLeading);
   std::vector<WorkerView> views;
   std::map<TargetLife, std::size_t> index;
   for (const auto& [life, worker] : aLeading.mWorkers) {
@@ -188,6 +208,8 @@
                           ? 0
                           : LossOf(aLeading, member, other->second);
       }
+      victim.mCost =
+        victim.mLoss * std::pow(kPriorityWeight, leastUrgent - open.mPriority);
       view.mVictims.push_back(std::move(victim));
     }
   }
@@ -436,6 +458,21 @@
          static_cast<double>(aUnit.mStep->mEstimateMs) / 1000;
 }
 
+/** Returns the order of a unit before its priority counts. Lasting tasks come
+ * before other work without urgency, so that headroom is not kept from them:
+ * the platform wants them back at work however full the pool is. */
+int
+RankOf(const Unit& aUnit)
+{
+  if (aUnit.mGuaranteed) {
+    return 0;
+  }
+  if (aUnit.mPriority == 0) {
+    return 1;
+  }
+  return aUnit.mStep->mLongRunning ? 2 : 3;
+}
+
 } // namespace
 
 void
@@ -490,10 +527,9 @@
   }
   std::stable_sort(
     units.begin(), units.end(), [](const Unit& aLeft, const Unit& aRight) {
-      return std::make_tuple(
-               !aLeft.mGuaranteed, aLeft.mPriority, aLeft.mUrgencyMs) <
+      return std::make_tuple(RankOf(aLeft), aLeft.mPriority, aLeft.mUrgencyMs) <
              std::make_tuple(
-               !aRight.mGuaranteed, aRight.mPriority, aRight.mUrgencyMs);
+               RankOf(aRight), aRight.mPriority, aRight.mUrgencyMs);
     });
   const WorkloadStep* full = nullptr; // no room for another task of this step
   bool isHeld = false;
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -182,18 +182,29 @@
   return PlaceNear(aUnit, emptied).has_value();
 }
 
+struct Stops
+{
+  std::vector<const Victim*> mVictims;
+  double mLoss = 0;
+  double mCost = 0;
+
+  void Add(const Victim& aVictim)
+  {
+    mVictims.push_back(&aVictim);
+    mLoss += aVictim.mLoss;
+    mCost += aVictim.mCost;
+  }
+};
+
 /** Returns the cheapest stops on aWorker after which aNeed fits. */
-std::optional<std::vector<const Victim*>>
+std::optional<Stops>
 CheapestStops(const WorkerView& aWorker,
               const Room& aNeed,
-              std::uint32_t aBelow,
-              double& aLoss)
+              std::uint32_t aBelow)
 {
   Room room = aWorker.mFree + aWorker.mReleasing;
-  std::vector<const Victim*> stops;
-  aLoss = 0;
   if (Fits(aNeed, room)) {
-    return stops;
+    return Stops();
   }
   std::vector<const Victim*> candidates;
   for (const Victim& victim : aWorker.mVictims) {
@@ -204,28 +215,27 @@
   std::sort(candidates.begin(),
             candidates.end(),
             [](const Victim* aLeft, const Victim* aRight) {
-              return std::make_tuple(aRight->mPriority, aLeft->mLoss) <
-                     std::make_tuple(aLeft->mPriority, aRight->mLoss);
+              return std::make_tuple(aRight->mPriority, aLeft->mCost) <
+                     std::make_tuple(aLeft->mPriority, aRight->mCost);
             });
+  std::vector<const Victim*> chosen;
   for (const Victim* victim : candidates) {
     if (Fits(aNeed, room)) {
       break;
     }
     room = room + victim->mRoom;
-    aLoss += victim->mLoss;
-    stops.push_back(victim);
+    chosen.push_back(victim);
   }
   if (!Fits(aNeed, room)) {
     return std::nullopt;
   }
-  // A run that turned out to be unnecessary goes on.
-  for (auto it = stops.begin(); it != stops.end();) {
-    if (Fits(aNeed, room - (*it)->mRoom)) {
-      room = room - (*it)->mRoom;
-      aLoss -= (*it)->mLoss;
-      it = stops.erase(it);
+  Stops stops;
+  for (const Victim* victim : chosen) {
+    // A run that turned out to be unnecessary goes on.
+    if (Fits(aNeed, room - victim->mRoom)) {
+      room = room - victim->mRoom;
     } else {
-      ++it;
+      stops.Add(*victim);
     }
   }
   return stops;
@@ -252,6 +262,7 @@
 {
   PreemptionPlan mPlan;
   double mLoss = 0; ///< core-seconds that the stops throw away
+  double mCost = 0;
 };
 
 /** Plans stops on the workers that aAllowed accepts. */
@@ -278,26 +289,24 @@
   std::set<RunId> stops;
   for (std::size_t task = 0; task < aUnit.mTasks.size(); ++task) {
     std::optional<std::size_t> best;
-    double bestLoss = 0;
-    std::vector<const Victim*> bestStops;
+    Stops bestStops;
     for (std::size_t i = 0; i < scratch.size(); ++i) {
-      double stopLoss = 0;
       if (!HasStepRoom(aUnit, stepTasks, indices[i])) {
         continue;
       }
-      const auto found = CheapestStops(scratch[i], need, aBelow, stopLoss);
-      if (found && (!best || stopLoss < bestLoss)) {
+      auto found = CheapestStops(scratch[i], need, aBelow);
+      if (found && (!best || found->mCost < bestStops.mCost)) {
         best = i;
-        bestLoss = stopLoss;
-        bestStops = *found;
+        bestStops = std::move(*found);
       }
     }
-    result.mLoss += bestLoss;
+    result.mLoss += bestStops.mLoss;
+    result.mCost += bestStops.mCost;
     if (!best || result.mLoss > aAllowedLoss) {
       return std::nullopt;
     }
     std::set<RunId> now;
-    for (const Victim* victim : bestStops) {
+    for (const Victim* victim : bestStops.mVictims) {
       now.insert(victim->mGang.begin(), victim->mGang.end());
     }
     Release(scratch, now);
@@ -386,7 +395,7 @@
         aUnit, aBelow, aAllowedLoss, aWorkers, [&](const WorkerView& aWorker) {
           return aWorker.mRack == rack;
         });
-      if (plan && (!best || plan->mLoss < best->mLoss)) {
+      if (plan && (!best || plan->mCost < best->mCost)) {
         best = std::move(plan);
       }
     }
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -44,6 +44,7 @@
   std::uint32_t mPriority = 0;
   Room mRoom;
   double mLoss = 0; ///< core-seconds that are thrown away
+  double mCost = 0; ///< the loss, weighted by how urgent the work is
 };
 
 /** What placement knows of one worker. */
--- a/tests/correctness/WorkloadHeadroom.cpp
+++ b/tests/correctness/WorkloadHeadroom.cpp
@@ -99,5 +99,29 @@
   EXPECT_EQ(workers[3].mFree.mAccelerators, 0);
 }
 
+// The platform wants lasting tasks back at work however full the pool is.
+TEST(WorkloadHeadroom, LastingTaskInAFullPoolUsesTheHeadroom)
+{
+  WorkloadWorldOptions options;
+  options.mGuaranteed = 0;
+  WorkloadWorld world(options);
+  world.Run(500);
+  world.SetRunTime("background", 20000);
+  world.Submit("background", "p1", OneStep(24, 8000, 1, false));
+  world.Run(1000);
+  for (int i = 0; i < 6; ++i) {
+    world.Submit(
+      "urgent" + std::to_string(i), "p0", OneStep(1, 1000, 4, false));
+    world.Run(1500);
+  }
+  world.Submit("more", "p1", OneStep(25, 8000, 1, false));
+  world.SetRunTime("lasting", 60000);
+  auto lasting = OneStep(1, 8000, 1, false);
+  lasting.mSteps[0].mLongRunning = true;
+  world.Submit("lasting", "p2", lasting);
+  world.Run(1000);
+  EXPECT_GE(world.FirstStartMs("lasting"), 0);
+}
+
 } // namespace
 } // namespace dogwooddrum::tests
--- a/tests/correctness/WorkloadPreemption.cpp
+++ b/tests/correctness/WorkloadPreemption.cpp
@@ -67,6 +67,25 @@
   EXPECT_EQ(world.Starts("unsaved"), 1);
 }
 
+// Work of the middle priority was stopped again and again, since it had
+// started last and so lost least.
+TEST(WorkloadPreemption, UrgentBurstStopsTheLeastUrgentWorkFirst)
+{
+  WorkloadWorld world(FullPool(8));
+  world.Run(500);
+  world.SetRunTime("least", 60000);
+  world.SetRunTime("middle", 60000);
+  world.Submit("least", "p2", OneStep(1, 1000, 8, false));
+  world.Run(4000);
+  world.Submit("middle", "p1", OneStep(1, 1000, 8, false));
+  world.Run(2500);
+  world.Submit("urgent", "p0", OneStep(1, 1000, 8, false));
+  world.Run(3000);
+  EXPECT_GE(world.FirstStartMs("urgent"), 0);
+  EXPECT_EQ(world.Starts("middle"), 1);
+  EXPECT_EQ(world.WorkersOf("urgent"), world.WorkersOf("least"));
+}
+
 TEST(WorkloadPreemption, UrgentBurstTakesRoomThatBecomesFreeAnyway)
 {
   WorkloadWorld world(FullPool(8));
--- a/tests/correctness/WorkloadRacks.cpp
+++ b/tests/correctness/WorkloadRacks.cpp
@@ -40,6 +40,7 @@
   victim.mPriority = 2;
   victim.mRoom = aWorker.mCapacity;
   victim.mLoss = aLoss;
+  victim.mCost = aLoss;
   aWorker.mFree = {};
   aWorker.mVictims.push_back(victim);
 }
