Hold room for waiting gangs against less urgent small tasks

Change: a gang that finds no room has the workers that can be emptied most cheaply held for it, without stopping anything; at most 30% of the pool, and nothing while less than half of it is in use.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -16,6 +16,9 @@
 /** How much more a lost core-second of the next more urgent priority counts;
  * the users value work of priority 1 three times as high as of priority 2. */
 constexpr double kPriorityWeight = 3;
+/** Most of the room that is held together for waiting gangs; the rest stays
+ * open to small tasks. */
+constexpr double kMostHeldShare = 0.3;
 
 const protocol::Queue*
 QueueOf(const Leading& aLeading, const WorkloadRecord& aWorkload)
@@ -458,6 +461,21 @@
          static_cast<double>(aUnit.mStep->mEstimateMs) / 1000;
 }
 
+/** Returns how many cores may be held for waiting gangs: none while less than
+ * half of them are in use, since the platform then counts a waiting job as
+ * forgotten. */
+double
+HoldLimit(const std::vector<WorkerView>& aWorkers)
+{
+  double all = 0;
+  double free = 0;
+  for (const WorkerView& worker : aWorkers) {
+    all += worker.mUsable ? CoresOf(worker.mCapacity) : 0;
+    free += worker.mUsable ? CoresOf(worker.mFree) : 0;
+  }
+  return free > all / 2 ? 0 : kMostHeldShare * all;
+}
+
 /** Returns the order of a unit before its priority counts. Lasting tasks come
  * before other work without urgency, so that headroom is not kept from them:
  * the platform wants them back at work however full the pool is. */
@@ -533,6 +551,7 @@
     });
   const WorkloadStep* full = nullptr; // no room for another task of this step
   bool isHeld = false;
+  double mayHold = HoldLimit(views);
   StepCounts placed;
   for (Unit& unit : units) {
     if (unit.mStep == full) {
@@ -555,6 +574,16 @@
     }
     full = unit.mStep;
     if (unit.mPriority > 0) {
+      const double cores =
+        static_cast<double>(unit.mTasks.size()) * CoresOf(RoomFor(*unit.mStep));
+      if (unit.mTasks.size() > 1 && cores <= mayHold &&
+          PlanPreemption(unit,
+                         unit.mPriority,
+                         std::numeric_limits<double>::infinity(),
+                         views,
+                         aLeading.mOptions.mPlacement)) {
+        mayHold -= cores;
+      }
       continue;
     }
     if (unit.mWaitedMs < aLeading.mOptions.mPlacement.mPreemptAfterMs) {
