Disturb the connections of targets in the soak

Change: each fake target announces a loopback proxy. The soak resets its connections, silences them, and holds requests, answers or both for up to 4 s, so that orders and answers arrive late and in one direction only. These faults are drawn apart from the others, which stay the same for a seed.

Links between the system's own processes are not disturbed yet.

--- a/tests/platform/soak/FakeTarget.cpp
+++ b/tests/platform/soak/FakeTarget.cpp
@@ -28,6 +28,7 @@
                        TargetLedger& aLedger,
                        std::uint64_t aSeed)
   : mAddress(aAddress)
+  , mProxy(aAddress.mPort, aAddress.mHost)
   , mName(std::move(aName))
   , mLedger(aLedger)
   , mRandom(aSeed)
@@ -50,7 +51,7 @@
   const std::lock_guard<std::mutex> lock(mMutex);
   const Json body = {
     { "service", "s" },
-    { "addr", mAddress.mHost + ":" + std::to_string(mAddress.mPort) },
+    { "addr", "127.0.0.1:" + std::to_string(mProxy.Port()) },
     { "zone", "z" },
     { "state", "ready" },
     { "capacity", { { "cpu", kCores }, { "mem_mb", 65536 }, { "gpu", 8 } } },
@@ -71,6 +72,7 @@
 void
 FakeTarget::Restart()
 {
+  mProxy.Cut();
   const std::lock_guard<std::mutex> lock(mMutex);
   const std::lock_guard<std::mutex> ledger(mLedger.mMutex);
   for (const auto& [task, run] : mRuns) {
--- a/tests/platform/soak/FakeTarget.h
+++ b/tests/platform/soak/FakeTarget.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "dogwooddrum/transport/HttpServer.h"
+#include "tests/support/TcpProxy.h"
 
 #include <cstdint>
 #include <map>
@@ -42,8 +43,11 @@
   std::pair<std::string, std::string> Heartbeat();
   /** Ends what is due, also while nobody calls. */
   void Tick();
-  /** Ends everything and begins a new life under the same name. */
+  /** Ends everything and begins a new life under the same name. Its
+   * connections end with the earlier life, and what they carried is lost. */
   void Restart();
+  /** Returns the proxy through which the agent calls. Thread safe. */
+  support::TcpProxy& Proxy() { return mProxy; }
 
 private:
   struct Run
@@ -62,6 +66,7 @@
   void End(const std::string& aTask, const std::string& aHow);
 
   const transport::Address mAddress;
+  support::TcpProxy mProxy;
   const std::string mName;
   TargetLedger& mLedger;
   std::mutex mMutex; ///< guards the members below
--- a/tests/platform/soak/Soak.cpp
+++ b/tests/platform/soak/Soak.cpp
@@ -1,7 +1,8 @@
 // Soak: the real programs as processes on loopback, with fake targets. Usage:
 // Soak SEED SECONDS. Kills, pauses, stops and restarts processes, wipes a
-// control member's disk and restarts targets, in series that overlap, while
-// callers submit; then checks that every accepted workload ends, that nothing
+// control member's disk, restarts targets and delays, resets, silences and
+// cuts the connections to them one way, in series that overlap, while callers
+// submit; then checks that every accepted workload ends, that nothing
 // ran twice or beyond its room, and that the configuration is the newest one.
 #include "dogwooddrum/daemon/Clock.h"
 #include "dogwooddrum/transport/HttpClient.h"
@@ -34,6 +35,9 @@
 constexpr std::int64_t kHeartbeatMs = 300;
 /** Time in which the system has to finish everything without faults. */
 constexpr std::int64_t kCalmMs = 60000;
+/** Faults of connections are drawn apart, so that a seed's other faults stay
+ * the same. */
+constexpr std::uint64_t kLinkSeeds = 1000000;
 
 enum class Kind
 {
@@ -49,6 +53,7 @@
 public:
   explicit Soak(std::uint64_t aSeed)
     : mRandom(aSeed)
+    , mLinkRandom(aSeed + kLinkSeeds)
     , mPort(static_cast<std::uint16_t>(20000 + (::getpid() * 37) % 20000))
     , mNetwork(2)
   {
@@ -91,11 +96,16 @@
     }
     const auto end = NowMs() + aSeconds * 1000;
     auto nextFault = NowMs() + 2000;
+    auto nextLinkFault = nextFault;
     while (NowMs() < end) {
       if (NowMs() >= nextFault) {
         Disturb();
         nextFault = NowMs() + 300 + static_cast<int>(mRandom() % 1500);
       }
+      if (NowMs() >= nextLinkFault) {
+        DisturbLink();
+        nextLinkFault = NowMs() + 300 + static_cast<int>(mLinkRandom() % 1500);
+      }
       SubmitOne();
       Recover(false);
       std::this_thread::sleep_for(milliseconds(100));
@@ -251,6 +261,43 @@
     }
   }
 
+  /** Disturbs the connections of a target to its agent. What is held for
+   * longer than a call waits arrives as a late order or a late answer. */
+  void DisturbLink()
+  {
+    const auto index = mLinkRandom() % mTargets.size();
+    auto& proxy = mTargets[index]->Proxy();
+    const auto until = NowMs() + 100 + static_cast<int>(mLinkRandom() % 4000);
+    static constexpr std::array<const char*, 5> kNames{
+      "reset", "silence", "hold requests", "hold answers", "hold both"
+    };
+    const auto kind = mLinkRandom() % kNames.size();
+    std::printf(
+      "%s target %zu\n", kNames.at(kind), static_cast<std::size_t>(index));
+    if (kind == 0) {
+      proxy.Cut();
+    } else if (kind == 1) {
+      proxy.Silence();
+    } else {
+      proxy.HoldRequests(kind != 3);
+      proxy.HoldAnswers(kind != 2);
+      mHeldUntil[index] = until;
+    }
+  }
+
+  void ReleaseLinks(bool aAll)
+  {
+    for (auto it = mHeldUntil.begin(); it != mHeldUntil.end();) {
+      if (!aAll && NowMs() < it->second) {
+        ++it;
+        continue;
+      }
+      mTargets[it->first]->Proxy().HoldRequests(false);
+      mTargets[it->first]->Proxy().HoldAnswers(false);
+      it = mHeldUntil.erase(it);
+    }
+  }
+
   /** One disk may be lost at a time, and the next only after the repair. */
   void MaybeWipe(const std::string& aName)
   {
@@ -266,6 +313,7 @@
   /** Ends faults whose time is over, and starts what has ended. */
   void Recover(bool aAll)
   {
+    ReleaseLinks(aAll);
     for (auto it = mFaults.begin(); it != mFaults.end();) {
       if (!aAll && NowMs() < it->second) {
         ++it;
@@ -441,6 +489,7 @@
   }
 
   std::mt19937_64 mRandom;
+  std::mt19937_64 mLinkRandom;
   const std::uint16_t mPort;
   std::string mFolder;
   bool mBootstrap = true;
@@ -449,7 +498,8 @@
   TargetLedger mLedger;
   std::vector<std::unique_ptr<FakeTarget>> mTargets;
   std::map<std::string, pid_t> mPids;
-  std::map<std::string, std::int64_t> mFaults; ///< process to its end
+  std::map<std::string, std::int64_t> mFaults;    ///< process to its end
+  std::map<std::size_t, std::int64_t> mHeldUntil; ///< target to its end
   std::int64_t mNextWipe = 0;
   std::string mConfiguration;
   unsigned long long mLastId = 0;
--- a/tests/support/TcpProxy.cpp
+++ b/tests/support/TcpProxy.cpp
@@ -13,12 +13,13 @@
 namespace {
 
 sockaddr_in
-Loopback(std::uint16_t aPort)
+Loopback(std::uint16_t aPort, const std::string& aIp)
 {
   sockaddr_in address = {};
   address.sin_family = AF_INET;
   address.sin_port = htons(aPort);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const bool parsed = ::inet_pton(AF_INET, aIp.c_str(), &address.sin_addr) == 1;
+  DOGWOODDRUM_INVARIANT(parsed, "the proxy's target has no IP address");
   return address;
 }
 
@@ -44,11 +45,12 @@
 
 } // namespace
 
-TcpProxy::TcpProxy(std::uint16_t aTarget)
+TcpProxy::TcpProxy(std::uint16_t aTarget, const std::string& aIp)
   : mTarget(aTarget)
+  , mTargetIp(aIp)
 {
   mListener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  auto address = Loopback(0);
+  auto address = Loopback(0, "127.0.0.1");
   socklen_t size = sizeof address;
   const int bound =
     ::bind(mListener, reinterpret_cast<sockaddr*>(&address), size);
@@ -77,7 +79,7 @@
   pair.mClient = ::accept4(mListener, nullptr, nullptr, SOCK_CLOEXEC);
   pair.mServer = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   pair.mSilent = mSilenceNew;
-  const auto address = Loopback(mTarget);
+  const auto address = Loopback(mTarget, mTargetIp);
   if (::connect(pair.mServer,
                 reinterpret_cast<const sockaddr*>(&address),
                 sizeof address) != 0) {
@@ -93,11 +95,14 @@
 {
   while (!mStopped) {
     std::vector<pollfd> fds = { { mListener, POLLIN, 0 } };
-    for (auto& pair : mPairs) {
-      const short events = pair.mSilent ? 0 : POLLIN;
+    const bool holdRequests = mHoldRequests;
+    const bool holdAnswers = mHoldAnswers;
+    for (const auto& pair : mPairs) {
       // poll ignores negative descriptors.
-      fds.push_back({ pair.mSilent ? -1 : pair.mClient, events, 0 });
-      fds.push_back({ pair.mSilent ? -1 : pair.mServer, events, 0 });
+      fds.push_back(
+        { pair.mSilent || holdRequests ? -1 : pair.mClient, POLLIN, 0 });
+      fds.push_back(
+        { pair.mSilent || holdAnswers ? -1 : pair.mServer, POLLIN, 0 });
     }
     ::poll(fds.data(), fds.size(), 20);
     const bool cut = mCut.exchange(false);
--- a/tests/support/TcpProxy.h
+++ b/tests/support/TcpProxy.h
@@ -1,11 +1,12 @@
 /** \file
- * Defines TcpProxy, which forwards connections on loopback and can cut or
- * silence them.
+ * Defines TcpProxy, which forwards connections on loopback and can cut,
+ * silence or delay them, also in one direction.
  */
 #pragma once
 
 #include <atomic>
 #include <cstdint>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -15,8 +16,10 @@
 class TcpProxy
 {
 public:
-  /** Listens on a free port and forwards to aTarget on loopback. */
-  explicit TcpProxy(std::uint16_t aTarget);
+  /** Listens on a free port and forwards to port aTarget of the loopback
+   * address aIp. */
+  explicit TcpProxy(std::uint16_t aTarget,
+                    const std::string& aIp = "127.0.0.1");
   ~TcpProxy();
   TcpProxy(const TcpProxy&) = delete;
   TcpProxy& operator=(const TcpProxy&) = delete;
@@ -28,6 +31,10 @@
   void Silence() { mSilence = true; }
   /** While set, new connections are accepted and forward nothing. */
   void SilenceNew(bool aSilent) { mSilenceNew = aSilent; }
+  /** While set, what clients send waits in the proxy. */
+  void HoldRequests(bool aHold) { mHoldRequests = aHold; }
+  /** While set, what the target sends waits in the proxy. */
+  void HoldAnswers(bool aHold) { mHoldAnswers = aHold; }
 
 private:
   struct Pair
@@ -40,12 +47,15 @@
   void Accept();
 
   const std::uint16_t mTarget;
+  const std::string mTargetIp;
   std::uint16_t mPort = 0;
   int mListener = -1;
   std::vector<Pair> mPairs; ///< used by the thread only
   std::atomic<bool> mCut{ false };
   std::atomic<bool> mSilence{ false };
   std::atomic<bool> mSilenceNew{ false };
+  std::atomic<bool> mHoldRequests{ false };
+  std::atomic<bool> mHoldAnswers{ false };
   std::atomic<bool> mStopped{ false };
   std::thread mThread;
 };
