--- a/tests/error/WorkloadRandomFaults.cpp
+++ b/tests/error/WorkloadRandomFaults.cpp
@@ -8,7 +8,7 @@
 namespace dogwooddrum::tests {
 namespace {
 
-constexpr std::uint64_t kSeeds = 200;
+constexpr std::uint64_t kSeeds = 220;
 
 void
 SubmitMix(WorkloadWorld& aWorld, const std::string& aPrefix)
