Split the decision about waiting work into its parts

Cause: one function collected the waiting units, kept headroom, made room for urgent work and held room for gangs, and planned stops in three places.

Change: each part is a function of its own; nothing is decided differently.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -491,6 +491,73 @@
   return aUnit.mStep->mLongRunning ? 2 : 3;
 }
 
+/** Keeps what urgent work may need soon from the units that follow. */
+void
+HoldHeadrooms(Leading& aLeading, std::vector<WorkerView>& aViews)
+{
+  const auto& options = aLeading.mOptions.mHeadroom;
+  for (auto& [pool, demand] : aLeading.mUrgentDemand) {
+    HoldHeadroom(
+      pool, demand.Headroom(aLeading.mNow, options), aViews, options);
+  }
+}
+
+/** Keeps the room that the unit could have with the cheapest stops from the
+ * units that follow, without stopping anything. Returns whether there is such
+ * room. */
+bool
+HoldRoomFor(const Leading& aLeading,
+            const Unit& aUnit,
+            std::vector<WorkerView>& aViews)
+{
+  return PlanPreemption(aUnit,
+                        aUnit.mPriority,
+                        std::numeric_limits<double>::infinity(),
+                        aViews,
+                        aLeading.mOptions.mPlacement)
+    .has_value();
+}
+
+/** Makes room for urgent work: at first holds what becomes free anyway, then
+ * stops others. Returns whether room is on its way. */
+bool
+MakeRoom(Leading& aLeading, const Unit& aUnit, std::vector<WorkerView>& aViews)
+{
+  const auto& options = aLeading.mOptions.mPlacement;
+  if (aUnit.mWaitedMs < options.mPreemptAfterMs) {
+    return HoldRoomFor(aLeading, aUnit, aViews);
+  }
+  const auto plan =
+    PlanPreemption(aUnit, aUnit.mPriority, AllowedLoss(aUnit), aViews, options);
+  if (!plan) {
+    return false;
+  }
+  for (const RunId& run : plan->mStops) {
+    StopRun(aLeading, run, "preempted");
+  }
+  return true;
+}
+
+/** Returns the units that may start now, the first in turn first. */
+std::vector<Unit>
+CollectUnits(Leading& aLeading, const std::vector<WorkerView>& aViews)
+{
+  const auto guaranteed = FindGuaranteed(aLeading);
+  std::vector<Unit> units;
+  UnitCollector collector(aLeading, aViews, guaranteed, units);
+  for (const WorkloadId& id : aLeading.mState->Active()) {
+    collector.Collect(id);
+  }
+  const auto turn = [](const Unit& aUnit) {
+    return std::make_tuple(RankOf(aUnit), aUnit.mPriority, aUnit.mUrgencyMs);
+  };
+  std::stable_sort(
+    units.begin(), units.end(), [&turn](const Unit& aLeft, const Unit& aRight) {
+      return turn(aLeft) < turn(aRight);
+    });
+  return units;
+}
+
 } // namespace
 
 void
@@ -537,33 +604,19 @@
   aLeading.mNextDecision = aLeading.mNow + kDecisionInterval;
   BeginOccurrences(aLeading);
   auto views = MakeViews(aLeading);
-  const auto guaranteed = FindGuaranteed(aLeading);
-  std::vector<Unit> units;
-  UnitCollector collector(aLeading, views, guaranteed, units);
-  for (const WorkloadId& id : aLeading.mState->Active()) {
-    collector.Collect(id);
-  }
-  std::stable_sort(
-    units.begin(), units.end(), [](const Unit& aLeft, const Unit& aRight) {
-      return std::make_tuple(RankOf(aLeft), aLeft.mPriority, aLeft.mUrgencyMs) <
-             std::make_tuple(
-               RankOf(aRight), aRight.mPriority, aRight.mUrgencyMs);
-    });
+  auto units = CollectUnits(aLeading, views);
   const WorkloadStep* full = nullptr; // no room for another task of this step
-  bool isHeld = false;
+  bool headroomHeld = false;
   double mayHold = HoldLimit(views);
   StepCounts placed;
   for (Unit& unit : units) {
     if (unit.mStep == full) {
       continue;
     }
-    if (unit.mPriority > 0 && !unit.mStep->mLongRunning && !isHeld) {
-      isHeld = true;
-      for (auto& [pool, demand] : aLeading.mUrgentDemand) {
-        const auto& options = aLeading.mOptions.mHeadroom;
-        HoldHeadroom(
-          pool, demand.Headroom(aLeading.mNow, options), views, options);
-      }
+    const bool urgent = unit.mPriority == 0;
+    if (!urgent && !unit.mStep->mLongRunning && !headroomHeld) {
+      headroomHeld = true;
+      HoldHeadrooms(aLeading, views);
     }
     placed.AddTo(unit);
     if (const auto assignment =
@@ -572,40 +625,16 @@
       placed.Count(unit, *assignment, views);
       continue;
     }
-    full = unit.mStep;
-    if (unit.mPriority > 0) {
-      const double cores =
-        static_cast<double>(unit.mTasks.size()) * CoresOf(RoomFor(*unit.mStep));
-      if (unit.mTasks.size() > 1 && cores <= mayHold &&
-          PlanPreemption(unit,
-                         unit.mPriority,
-                         std::numeric_limits<double>::infinity(),
-                         views,
-                         aLeading.mOptions.mPlacement)) {
-        mayHold -= cores;
-      }
-      continue;
-    }
-    if (unit.mWaitedMs < aLeading.mOptions.mPlacement.mPreemptAfterMs) {
-      // Runs end all the time: room that becomes free by then goes to the unit.
-      if (PlanPreemption(unit,
-                         unit.mPriority,
-                         std::numeric_limits<double>::infinity(),
-                         views,
-                         aLeading.mOptions.mPlacement)) {
-        full = nullptr;
-      }
+    if (urgent) {
+      full = MakeRoom(aLeading, unit, views) ? nullptr : unit.mStep;
       continue;
     }
-    if (const auto plan = PlanPreemption(unit,
-                                         unit.mPriority,
-                                         AllowedLoss(unit),
-                                         views,
-                                         aLeading.mOptions.mPlacement)) {
-      full = nullptr;
-      for (const RunId& run : plan->mStops) {
-        StopRun(aLeading, run, "preempted");
-      }
+    full = unit.mStep;
+    const double cores =
+      static_cast<double>(unit.mTasks.size()) * CoresOf(RoomFor(*unit.mStep));
+    if (unit.mTasks.size() > 1 && cores <= mayHold &&
+        HoldRoomFor(aLeading, unit, views)) {
+      mayHold -= cores;
     }
   }
 }
