Stop runs on leaving targets that cannot end in time

Cause: a target that is taken away at short notice says how long it stays.

Ruled out: a shorter lease.

A run that ends after its target has left is stopped, with its gang, and starts elsewhere at once. The time of a stop and of a restore come from the settings instead of constants of the first site.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -11,8 +11,6 @@
 
 /** Placement also depends on time: patience, suspicion, occurrences. */
 constexpr base::Duration kDecisionInterval = base::Milliseconds(250);
-/** About what a stopped task needs to be at work again. */
-constexpr base::Duration kRestoreTime = base::Milliseconds(600);
 /** How much more a lost core-second of the next more urgent priority counts;
  * the users value work of priority 1 three times as high as of priority 2. */
 constexpr double kPriorityWeight = 3;
@@ -92,12 +90,10 @@
 double
 LossOf(const Leading& aLeading, const RunId& aId, const OpenRun& aRun)
 {
-  const auto* workload = aLeading.mState->Find(aId.mTask.mWorkload);
-  // A checkpointing task saves its work when it is stopped.
-  const bool saves =
-    workload != nullptr && StepOf(*workload, aId.mTask).mCheckpointing;
   const auto since = std::max(aRun.mStartedAt, aRun.mSavedAt);
-  const auto lost = saves ? kRestoreTime : aLeading.mNow - since + kRestoreTime;
+  const auto restore = aLeading.mOptions.mRestoreTime;
+  const auto lost =
+    IsSaving(aLeading, aId) ? restore : aLeading.mNow - since + restore;
   return static_cast<double>(base::ToMilliseconds(lost)) / 1000 *
          CoresOf(aRun.mRoom);
 }
@@ -116,28 +112,6 @@
   return least;
 }
 
-/** Returns all open runs of the gang of aRun, or aRun alone. */
-std::vector<RunId>
-GangOf(const Leading& aLeading, const RunId& aRun)
-{
-  const auto* workload = aLeading.mState->Find(aRun.mTask.mWorkload);
-  if (workload == nullptr || !StepOf(*workload, aRun.mTask).mGang) {
-    return { aRun };
-  }
-  std::vector<RunId> gang;
-  TaskId first = aRun.mTask;
-  first.mIndex = 0;
-  for (auto it = aLeading.mRuns.lower_bound(RunId{ first, RunNumber(0) });
-       it != aLeading.mRuns.end() &&
-       it->first.mTask.mWorkload == aRun.mTask.mWorkload &&
-       it->first.mTask.mOccurrence == aRun.mTask.mOccurrence &&
-       it->first.mTask.mStep == aRun.mTask.mStep;
-       ++it) {
-    gang.push_back(it->first);
-  }
-  return gang;
-}
-
 /** Returns whether a target lists a run that is not open there in the
  * replicated state: an order that was carried out late started it. It holds
  * room, and its task must not start elsewhere, until the target lists its
@@ -397,6 +371,7 @@
     open.mPriority = aUnit.mPriority;
     open.mStartedAt = aLeading.mNow;
     open.mCheckpoint = record->mCheckpoint;
+    open.mResumedFrom = record->mCheckpoint;
     open.mGuaranteed = aUnit.mGuaranteed;
     Tell(aLeading,
          Note::Kind::RunStarted,
@@ -545,6 +520,52 @@
 
 } // namespace
 
+std::vector<RunId>
+GangOf(const Leading& aLeading, const RunId& aRun)
+{
+  const auto* workload = aLeading.mState->Find(aRun.mTask.mWorkload);
+  if (workload == nullptr || !StepOf(*workload, aRun.mTask).mGang) {
+    return { aRun };
+  }
+  std::vector<RunId> gang;
+  TaskId first = aRun.mTask;
+  first.mIndex = 0;
+  for (auto it = aLeading.mRuns.lower_bound(RunId{ first, RunNumber(0) });
+       it != aLeading.mRuns.end() &&
+       it->first.mTask.mWorkload == aRun.mTask.mWorkload &&
+       it->first.mTask.mOccurrence == aRun.mTask.mOccurrence &&
+       it->first.mTask.mStep == aRun.mTask.mStep;
+       ++it) {
+    gang.push_back(it->first);
+  }
+  return gang;
+}
+
+bool
+IsSaving(const Leading& aLeading, const RunId& aRun)
+{
+  const auto* workload = aLeading.mState->Find(aRun.mTask.mWorkload);
+  return workload != nullptr && StepOf(*workload, aRun.mTask).mCheckpointing;
+}
+
+base::Duration
+TimeLeftOf(const Leading& aLeading, const RunId& aRun, const OpenRun& aOpen)
+{
+  const auto* workload = aLeading.mState->Find(aRun.mTask.mWorkload);
+  if (workload == nullptr || StepOf(*workload, aRun.mTask).mLongRunning) {
+    return base::Duration::max();
+  }
+  if (const auto left = TimeLeft(aOpen.mProgress, aLeading.mNow)) {
+    return *left;
+  }
+  const auto whole =
+    aLeading.mRunTimes.Expect(aRun.mTask,
+                              workload->mQueueName,
+                              StepOf(*workload, aRun.mTask).mEstimateMs);
+  return std::max(whole - (aLeading.mNow - aOpen.mStartedAt),
+                  base::Duration::zero());
+}
+
 void
 AddOpenRun(Leading& aLeading, const RunId& aRun, const TaskRecord& aTask)
 {
@@ -558,6 +579,7 @@
     open.mPriority = PriorityOf(aLeading, *workload);
     open.mStartedAt = aLeading.mNow;
     open.mCheckpoint = aTask.mCheckpoint;
+    open.mResumedFrom = aTask.mCheckpoint;
   }
   const auto worker = aLeading.mWorkers.find(open.mTarget);
   if (worker != aLeading.mWorkers.end()) {
@@ -588,6 +610,7 @@
   aLeading.mDecide = false;
   aLeading.mNextDecision = aLeading.mNow + kDecisionInterval;
   BeginOccurrences(aLeading);
+  StopDoomedRuns(aLeading);
   auto views = MakeViews(aLeading);
   auto units = CollectUnits(aLeading, views);
   const WorkloadStep* full = nullptr; // no room for another task of this step
--- a/dogwooddrum/coordination/workloads/Leading.h
+++ b/dogwooddrum/coordination/workloads/Leading.h
@@ -6,9 +6,11 @@
 #pragma once
 
 #include "dogwooddrum/coordination/workloads/Headroom.h"
+#include "dogwooddrum/coordination/workloads/RunTimes.h"
 #include "dogwooddrum/coordination/workloads/Scheduler.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace dogwooddrum::coordination::workloads {
@@ -22,6 +24,8 @@
   base::Time mStartedAt; ///< decided, or taken over with the leadership
   base::Time mSavedAt;   ///< when the newest checkpoint was first seen
   std::string mCheckpoint;
+  std::string mResumedFrom; ///< checkpoint at the start; empty: none
+  RunProgress mProgress;
   bool mCommitted = false;
   bool mStopping = false;
   bool mEnding = false; ///< its end is proposed
@@ -40,6 +44,8 @@
   bool mDirty = false;
   protocol::FencingToken mFence;
   base::Time mLastGrant;
+  /** Earliest time at which it is gone, if it leaves and has said so. */
+  std::optional<base::Time> mLeavesAt;
   std::int64_t mLeaseUntilUs = 0; ///< on the agent's clock
   std::map<RunId, protocol::RunningTask> mReported;
   std::uint64_t mProposedEnds = 0;
@@ -82,6 +88,7 @@
   std::map<TargetLife, Worker> mWorkers;
   std::map<std::string, TargetLife> mByAgent;
   std::map<TaskId, base::Time> mReadySince;
+  RunTimes mRunTimes;
   std::map<protocol::PoolName, UrgentDemand> mUrgentDemand;
   std::map<TaskId, std::set<TargetLife>> mFailedOn;
   std::map<WorkloadId, std::vector<Waiter>> mSubmits;
@@ -142,6 +149,21 @@
 void
 StopRun(Leading& aLeading, const RunId& aRun, const char* aWhy);
 
+// Runs.
+
+/** Returns all open runs of the gang of aRun, or aRun alone. */
+std::vector<RunId>
+GangOf(const Leading& aLeading, const RunId& aRun);
+/** Returns whether a stop saves the work of the run. */
+bool
+IsSaving(const Leading& aLeading, const RunId& aRun);
+/** Returns the expected time to the end of the run. */
+base::Duration
+TimeLeftOf(const Leading& aLeading, const RunId& aRun, const OpenRun& aOpen);
+/** Stops runs that cannot end before their target has left. */
+void
+StopDoomedRuns(Leading& aLeading);
+
 // Decisions.
 
 /** Counts a workload as demand if it is urgent. */
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/RunTimes.cpp
@@ -0,0 +1,134 @@
+#include "dogwooddrum/coordination/workloads/RunTimes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dogwooddrum::coordination::workloads {
+
+namespace {
+
+/** Shares are whole percents: a shorter sample of a long run is mostly
+ * rounding. */
+constexpr base::Duration kSampleTime = base::Milliseconds(500);
+constexpr std::uint32_t kWholePercent = 100;
+/** Weight of a new sample of a step; its tasks differ little. */
+constexpr double kStepWeight = 0.5;
+/** Weight of a new sample of a queue; its workloads differ widely. */
+constexpr double kQueueWeight = 0.1;
+/** One sample moves a queue's ratio as if it were off by no more than this
+ * factor, so that a run on a very slow target does not spoil it. */
+constexpr double kLargestRatio = 10;
+
+base::Duration
+Seconds(double aSeconds)
+{
+  return base::Duration(static_cast<std::int64_t>(aSeconds * 1e6));
+}
+
+} // namespace
+
+void
+Observe(RunProgress& aProgress, std::uint32_t aPercent, base::Time aNow)
+{
+  const bool isFirst = aProgress.mListedAt == base::Time();
+  if (isFirst || aPercent < aProgress.mPercent) {
+    aProgress = RunProgress();
+    aProgress.mSampleBegin = aPercent;
+    aProgress.mSampleBeganAt = aNow;
+    aProgress.mMovedAt = aNow;
+  }
+  if (aPercent > aProgress.mPercent) {
+    aProgress.mMovedAt = aNow;
+  }
+  aProgress.mPercent = aPercent;
+  aProgress.mListedAt = aNow;
+  const base::Duration sample = aNow - aProgress.mSampleBeganAt;
+  if (sample < kSampleTime || aPercent == aProgress.mSampleBegin) {
+    return;
+  }
+  const double rate = static_cast<double>(aPercent - aProgress.mSampleBegin) *
+                      1e6 / static_cast<double>(sample.count());
+  aProgress.mPercentPerSecond = aProgress.mPercentPerSecond == 0
+                                  ? rate
+                                  : (aProgress.mPercentPerSecond + rate) / 2;
+  aProgress.mSampleBegin = aPercent;
+  aProgress.mSampleBeganAt = aNow;
+}
+
+std::optional<base::Duration>
+TimeLeft(const RunProgress& aProgress, base::Time aNow)
+{
+  if (aProgress.mPercentPerSecond == 0) {
+    return std::nullopt;
+  }
+  const auto left =
+    Seconds((kWholePercent - std::min(aProgress.mPercent, kWholePercent)) /
+            aProgress.mPercentPerSecond) -
+    (aNow - aProgress.mListedAt);
+  return std::max(left, base::Duration::zero());
+}
+
+std::optional<base::Duration>
+WholeTime(const RunProgress& aProgress)
+{
+  if (aProgress.mPercentPerSecond == 0) {
+    return std::nullopt;
+  }
+  return Seconds(kWholePercent / aProgress.mPercentPerSecond);
+}
+
+RunTimes::Step
+RunTimes::StepOf(const protocol::TaskId& aTask)
+{
+  return { aTask.mWorkload, aTask.mOccurrence, aTask.mStep };
+}
+
+void
+RunTimes::AddStep(const protocol::TaskId& aTask, base::Duration aWhole)
+{
+  const auto [it, isNew] = mSteps.try_emplace(StepOf(aTask), aWhole);
+  if (!isNew) {
+    it->second += base::Duration(static_cast<std::int64_t>(
+      kStepWeight * static_cast<double>((aWhole - it->second).count())));
+  }
+}
+
+void
+RunTimes::AddDone(const protocol::QueueName& aQueue,
+                  std::uint64_t aEstimateMs,
+                  base::Duration aWhole)
+{
+  if (aEstimateMs == 0 || aWhole <= base::Duration::zero()) {
+    return;
+  }
+  const double ratio = static_cast<double>(base::ToMilliseconds(aWhole)) /
+                       static_cast<double>(aEstimateMs);
+  const double sample =
+    std::log(std::clamp(ratio, 1 / kLargestRatio, kLargestRatio));
+  double& mean = mRatios[aQueue];
+  mean += kQueueWeight * (sample - mean);
+}
+
+base::Duration
+RunTimes::Expect(const protocol::TaskId& aTask,
+                 const protocol::QueueName& aQueue,
+                 std::uint64_t aEstimateMs) const
+{
+  if (const auto step = mSteps.find(StepOf(aTask)); step != mSteps.end()) {
+    return step->second;
+  }
+  const auto ratio = mRatios.find(aQueue);
+  const double factor = ratio == mRatios.end() ? 1 : std::exp(ratio->second);
+  return Seconds(static_cast<double>(aEstimateMs) / 1000 * factor);
+}
+
+void
+RunTimes::Forget(const protocol::WorkloadId& aWorkload)
+{
+  auto it = mSteps.lower_bound({ aWorkload, 0, 0 });
+  while (it != mSteps.end() && std::get<0>(it->first) == aWorkload) {
+    it = mSteps.erase(it);
+  }
+}
+
+} // namespace dogwooddrum::coordination::workloads
--- a/dogwooddrum/coordination/workloads/Scheduler.cpp
+++ b/dogwooddrum/coordination/workloads/Scheduler.cpp
@@ -116,6 +116,7 @@
     const auto& id = aChange.mRun.mTask.mWorkload;
     const auto it = mLeading.mRuns.find(aChange.mRun);
     if (it != mLeading.mRuns.end()) {
+      LearnRunTime(aChange, it->second);
       const auto worker = mLeading.mWorkers.find(it->second.mTarget);
       if (worker != mLeading.mWorkers.end()) {
         Worker& at = worker->second;
@@ -130,6 +131,7 @@
     const WorkloadRecord* workload = mLeading.mState->Find(id);
     if (workload != nullptr && HasEnded(*workload)) {
       if (mLeading.mState->Active().count(id) == 0) {
+        mLeading.mRunTimes.Forget(id);
         Tell(
           mLeading,
           Note::Kind::WorkloadEnded,
@@ -142,6 +144,18 @@
     }
     mLeading.mDecide = true;
   }
+  void LearnRunTime(const EndRun& aChange, const OpenRun& aOpen) const
+  {
+    const TaskId& task = aChange.mRun.mTask;
+    const auto* workload = mLeading.mState->Find(task.mWorkload);
+    // A resumed run did a part of the work only.
+    if (aChange.mEnd == RunEnd::Done && workload != nullptr &&
+        aOpen.mResumedFrom.empty()) {
+      mLeading.mRunTimes.AddDone(workload->mQueueName,
+                                 StepOf(*workload, task).mEstimateMs,
+                                 mLeading.mNow - aOpen.mStartedAt);
+    }
+  }
   void operator()(const Forget&) const {}
   void operator()(const AdoptCatalog& aChange) const
   {
--- a/dogwooddrum/coordination/workloads/Scheduler.h
+++ b/dogwooddrum/coordination/workloads/Scheduler.h
@@ -30,6 +30,10 @@
   double mClockDrift = 0.03;
   /** Rounding and the delivery of a grant at the agent. */
   base::Duration mLeaseMargin = base::Milliseconds(250);
+  /** Longest time that a target takes to stop a run. */
+  base::Duration mStopTime = base::Milliseconds(900);
+  /** What a stopped task needs to be at work again. */
+  base::Duration mRestoreTime = base::Milliseconds(600);
   /** How long an ended workload can be read. */
   base::Duration mRetention = std::chrono::seconds(180);
   /** Failed runs in a row after which a worker is suspected. */
--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -43,7 +43,8 @@
 
 bool
 WorkerAgent::OnAnnounced(const protocol::TargetFacts& aFacts,
-                         std::uint64_t aSequence)
+                         std::uint64_t aSequence,
+                         base::Time aNow)
 {
   const auto& life = aFacts.mLife;
   const bool past =
@@ -59,6 +60,7 @@
     }
     const bool changed = !SameFacts(*mTarget, aFacts);
     mAnnounced = aSequence;
+    mAnnouncedAt = aNow;
     const bool wasLeaving = mTarget->mLeaving;
     mTarget = aFacts;
     // A target that leaves does not come back within its life.
@@ -71,6 +73,7 @@
   ForgetLife();
   mTarget = aFacts;
   mAnnounced = aSequence;
+  mAnnouncedAt = aNow;
   if (life.mBornMs > 0) {
     mFence = std::max(mFence, protocol::FenceOf(life));
   }
@@ -338,6 +341,13 @@
   report.mSequence = ++mReportSequence;
   report.mSentAtUs = aNow.time_since_epoch().count();
   report.mTarget = mTarget;
+  if (mTarget && mTarget->mRemainingMs > 0) {
+    // The leader counts from the report, not from the announcement.
+    const std::int64_t left = static_cast<std::int64_t>(mTarget->mRemainingMs) -
+                              base::ToMilliseconds(aNow - mAnnouncedAt);
+    report.mTarget->mRemainingMs =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(left, 1));
+  }
   report.mPastLives = mPastLives;
   report.mListed = mListed;
   report.mRunning = mRunning;
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -67,7 +67,8 @@
   /** The target announced itself; aSequence rises within a life. Returns
    * whether anything but the sequence changed. */
   bool OnAnnounced(const protocol::TargetFacts& aFacts,
-                   std::uint64_t aSequence);
+                   std::uint64_t aSequence,
+                   base::Time aNow);
   /** The instance's life has ended. */
   void OnLeft(const std::string& aInstance);
   /** Orders of the leader; older ones than those in force are ignored. */
@@ -124,6 +125,7 @@
 
   std::optional<protocol::TargetFacts> mTarget;
   std::uint64_t mAnnounced = 0; ///< newest sequence of this life
+  base::Time mAnnouncedAt;
   std::vector<protocol::PastLife> mPastLives;
 
   base::Term mTerm;
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -142,6 +142,12 @@
   worker.mReportSequence = aReport.mSequence;
   worker.mSession = aSession;
   worker.mFacts = *aReport.mTarget;
+  worker.mLeavesAt.reset();
+  if (worker.mFacts.mLeaving && worker.mFacts.mRemainingMs > 0) {
+    worker.mLeavesAt =
+      aLeading.mNow +
+      base::Milliseconds(static_cast<std::int64_t>(worker.mFacts.mRemainingMs));
+  }
   return &worker;
 }
 
@@ -231,10 +237,17 @@
   for (const auto& running : aReport.mRunning) {
     aWorker.mReported.emplace(running.mRun, running);
     const auto it = aLeading.mRuns.find(running.mRun);
-    if (it != aLeading.mRuns.end() &&
-        it->second.mCheckpoint != running.mCheckpoint) {
-      it->second.mCheckpoint = running.mCheckpoint;
-      it->second.mSavedAt = aLeading.mNow;
+    if (it == aLeading.mRuns.end()) {
+      continue;
+    }
+    OpenRun& open = it->second;
+    if (open.mCheckpoint != running.mCheckpoint) {
+      open.mCheckpoint = running.mCheckpoint;
+      open.mSavedAt = aLeading.mNow;
+    }
+    Observe(open.mProgress, running.mPercent, aLeading.mNow);
+    if (const auto whole = WholeTime(open.mProgress)) {
+      aLeading.mRunTimes.AddStep(running.mRun.mTask, *whole);
     }
   }
 }
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -63,7 +63,10 @@
   placer.mInteractiveBorrowShare = aSettings.mInteractiveBorrowPercent / 100.0;
   placer.mFailuresToQuarantine = aSettings.mFailuresToQuarantine;
   placer.mQuarantineTime = aSettings.mQuarantineTime;
-  coordinator.mWorkloads.mTaskLease = aSettings.mTaskLease;
+  auto& workloads = coordinator.mWorkloads;
+  workloads.mTaskLease = aSettings.mTaskLease;
+  workloads.mStopTime = aSettings.mStopTime;
+  workloads.mRestoreTime = aSettings.mRestoreTime;
   if (!aSettings.mSeeds.empty()) {
     options.mRepair.emplace();
     options.mRepair->mVoters = 2 * aSettings.mToleratedLosses + 1;
--- a/dogwooddrum/daemon/WorkerHost.cpp
+++ b/dogwooddrum/daemon/WorkerHost.cpp
@@ -307,7 +307,8 @@
     if (aAnnounced.mLeft) {
       mAgent.OnLeft(aAnnounced.mFacts.mLife.mInstance);
     } else {
-      changed = mAgent.OnAnnounced(aAnnounced.mFacts, aAnnounced.mSequence);
+      changed =
+        mAgent.OnAnnounced(aAnnounced.mFacts, aAnnounced.mSequence, Now());
     }
     if (!changed) {
       return;
--- a/dogwooddrum/protocol/WorkloadMessages.h
+++ b/dogwooddrum/protocol/WorkloadMessages.h
@@ -184,7 +184,8 @@
 {
   RunId mRun;
   std::string mCheckpoint;    ///< newest saved; empty: none
-  std::uint32_t mPercent = 0; ///< share of full speed at which it works
+  std::uint32_t mPercent = 0; ///< share of its work that is done; of full
+                              ///< speed for a long-running task
   template<class Archive>
   void serialize(Archive& aArchive)
   {
@@ -216,7 +217,8 @@
   std::vector<std::string> mLabels;
   Resources mCapacity;
   bool mLeaving = false;
-  std::uint64_t mRemainingMs = 0; ///< least time left while leaving; 0: untold
+  std::uint64_t mRemainingMs = 0; ///< least time left while leaving, when the
+                                  ///< facts were sent; 0: untold
   template<class Archive>
   void serialize(Archive& aArchive)
   {
--- a/dogwooddrum/service/Settings.h
+++ b/dogwooddrum/service/Settings.h
@@ -112,6 +112,8 @@
   std::uint32_t mToleratedLosses = 1;
   std::optional<Address> mOperatorAddress;
   base::Duration mTaskLease{};
+  base::Duration mStopTime{};
+  base::Duration mRestoreTime{};
 };
 
 /** Section [agent]. */
--- a/tests/error/DelayedStarts.cpp
+++ b/tests/error/DelayedStarts.cpp
@@ -165,7 +165,7 @@
 TEST(DelayedStarts, AgentFencesANewLifeBeforeItsLeaderKnows)
 {
   WorkerAgent agent({});
-  agent.OnAnnounced(FactsOf(kPresent), 1);
+  agent.OnAnnounced(FactsOf(kPresent), 1, base::Time());
   const auto renewal = agent.NextRenewal(At(10));
   ASSERT_TRUE(renewal);
   EXPECT_GT(renewal->mFence.Value(), protocol::FenceOf(kEarlier).Value());
--- a/tests/error/WorkerAgentReports.cpp
+++ b/tests/error/WorkerAgentReports.cpp
@@ -26,7 +26,7 @@
   WorkerAgent agent({});
   protocol::TargetFacts facts;
   facts.mLife = kLife;
-  agent.OnAnnounced(facts, 1);
+  agent.OnAnnounced(facts, 1, At(0));
   protocol::WorkerOrders orders;
   orders.mTerm = base::Term(1);
   orders.mFence = protocol::FencingToken(1);
--- a/tests/support/WorkloadWorld.cpp
+++ b/tests/support/WorkloadWorld.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/WorkloadWorld.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace dogwooddrum::tests {
 
@@ -47,7 +48,8 @@
   struct Running
   {
     RunId mRun;
-    std::int64_t mEndsAt = 0; ///< world time
+    std::int64_t mBeganAt = 0; ///< world time
+    std::int64_t mEndsAt = 0;  ///< world time
     RunEnd mEnd = RunEnd::Done;
   };
   protocol::TargetFacts mFacts;
@@ -90,6 +92,8 @@
   std::int64_t mCutUntil = 0;
   std::int64_t mBusyUntil = 0; ///< an order is under way
   bool mFailing = false;
+  std::int64_t mGoneAt = std::numeric_limits<std::int64_t>::max();
+  std::int64_t mStalledUntil = 0;
 };
 
 WorkloadWorld::WorkloadWorld(const WorkloadWorldOptions& aOptions)
@@ -208,6 +212,21 @@
   mWorkers[aWorker]->mNextAnnounce = mNowMs;
 }
 
+void
+WorkloadWorld::TakeAway(std::size_t aWorker, std::int64_t aStaysMs)
+{
+  mWorkers[aWorker]->mTarget->mFacts.mRemainingMs =
+    static_cast<std::uint64_t>(aStaysMs);
+  mWorkers[aWorker]->mGoneAt = mNowMs + aStaysMs;
+  Leave(aWorker);
+}
+
+void
+WorkloadWorld::Stall(std::size_t aWorker, std::int64_t aForMs)
+{
+  mWorkers[aWorker]->mStalledUntil = mNowMs + aForMs;
+}
+
 void
 WorkloadWorld::ChangeLeader()
 {
@@ -332,6 +351,7 @@
   target.mLeaseUntil = std::max(target.mLeaseUntil, aCall.mLeaseUntilMs);
   Target::Running running;
   running.mRun = run;
+  running.mBeganAt = mNowMs;
   const auto time = mRunTimes.find(id);
   running.mEndsAt =
     mNowMs + (time == mRunTimes.end() ? kDefaultRunMs : time->second);
@@ -407,6 +427,14 @@
       target.End(target.mRuns.begin()->first, RunEnd::Lapsed);
     }
   }
+  if (mNowMs < mWorkers[aWorker]->mStalledUntil) {
+    for (auto& [task, running] : target.mRuns) {
+      if (running.mEnd != RunEnd::Stopped) {
+        running.mBeganAt += kStepMs;
+        running.mEndsAt += kStepMs;
+      }
+    }
+  }
   std::vector<TaskId> due;
   for (const auto& [task, running] : target.mRuns) {
     if (running.mEndsAt <= mNowMs) {
@@ -424,10 +452,14 @@
 {
   Worker& worker = *mWorkers[aWorker];
   Target& target = *worker.mTarget;
+  if (mNowMs >= worker.mGoneAt) {
+    target.mRuns.clear();
+    return;
+  }
   AdvanceTarget(aWorker);
   if (mNowMs >= worker.mNextAnnounce) {
     worker.mNextAnnounce = mNowMs + kAnnounceMs;
-    worker.mAgent->OnAnnounced(target.mFacts, ++worker.mSequence);
+    worker.mAgent->OnAnnounced(target.mFacts, ++worker.mSequence, mNow);
     worker.mNextHold = mNowMs; // an announcement wakes the renewals
   }
   SendOrders(aWorker);
@@ -483,7 +515,10 @@
                         target.mEnded.end());
     std::vector<protocol::RunningTask> running;
     for (const auto& [task, run] : target.mRuns) {
-      running.push_back({ run.mRun, "", 100 });
+      const auto percent =
+        100 * (mNowMs - run.mBeganAt) /
+        std::max<std::int64_t>(run.mEndsAt - run.mBeganAt, 1);
+      running.push_back({ run.mRun, "", static_cast<std::uint32_t>(percent) });
     }
     worker.mAgent->OnListing(target.mFacts.mLife,
                              target.Clock(mNowMs),
--- a/tests/support/WorkloadWorld.h
+++ b/tests/support/WorkloadWorld.h
@@ -63,6 +63,11 @@
   void CutAgent(std::size_t aWorker, std::int64_t aForMs);
   void RestartTarget(std::size_t aWorker);
   void Leave(std::size_t aWorker);
+  /** Announces that the worker leaves, and takes its VM away after aStaysMs,
+   * with its target and its agent. */
+  void TakeAway(std::size_t aWorker, std::int64_t aStaysMs);
+  /** Lets the runs on a worker stand still. */
+  void Stall(std::size_t aWorker, std::int64_t aForMs);
   void ChangeLeader();
   void Run(std::int64_t aMs);
   /** Stops all random faults. */
