Log each answered call of an operator

Nothing in the logs told what had become of the operator's calls.

Ruled out: a slow commit or a missing redirect.

--- a/dogwooddrum/daemon/OperatorPort.cpp
+++ b/dogwooddrum/daemon/OperatorPort.cpp
@@ -1,6 +1,7 @@
 #include "dogwooddrum/daemon/OperatorPort.h"
 
 #include "dogwooddrum/daemon/Clock.h"
+#include "dogwooddrum/service/LogEvents.h"
 
 namespace dogwooddrum::daemon {
 
@@ -50,7 +51,7 @@
 {
   auto call = mProtocol.Decode(aRequest);
   if (auto* response = std::get_if<transport::ServerResponse>(&call)) {
-    aResponder(std::move(*response));
+    Answer({ aResponder, Now(), false, {} }, std::move(*response), "invalid");
     return;
   }
   protocol::WorkloadRequestBody body;
@@ -69,27 +70,54 @@
                    protocol::WorkloadRequestBody aBody,
                    const transport::ServerResponder& aResponder)
 {
+  Call call;
+  call.mRespond = aResponder;
+  call.mReceived = Now();
+  if (const auto* replace = std::get_if<protocol::ReplaceCatalog>(&aBody)) {
+    call.mReplaces = true;
+    call.mVersion = replace->mCatalog.mVersion;
+  }
   if (!mCore->Status().mLeads) {
     const auto leader =
       transport::ParseAddress(mCore->Decisions().LeaderAddress());
-    aResponder(leader ? mProtocol.Redirect({ leader->mHost, mPort }, aRequest)
-                      : mProtocol.Unavailable());
+    if (leader) {
+      Answer(call,
+             mProtocol.Redirect({ leader->mHost, mPort }, aRequest),
+             "redirected");
+    } else {
+      Answer(call, mProtocol.Unavailable(), "no_leader");
+    }
     return;
   }
   protocol::WorkloadRequest request;
   request.mId = base::RequestId(++mLastCall);
   request.mBody = std::move(aBody);
-  mCalls[request.mId] = { aResponder, Now() + kCallLimit };
+  mCalls[request.mId] = std::move(call);
   mCore->Decisions().OnWorkloadRequest(
     coordination::control::SessionId(kOperatorSession), request, Now());
 }
 
+void
+OperatorPort::Answer(const Call& aCall,
+                     transport::ServerResponse aResponse,
+                     const char* aReason)
+{
+  service::Log(
+    service::LogEvent::OperatorAnswered,
+    { { "call", aCall.mReplaces ? "replace" : "read" },
+      { "version", aCall.mVersion.Value() },
+      { "status", aResponse.mStatus },
+      { "reason", aReason },
+      { "waited_ms", base::ToMilliseconds(Now() - aCall.mReceived) } });
+  aCall.mRespond(std::move(aResponse));
+}
+
 void
 OperatorPort::OnReply(const protocol::WorkloadReply& aReply)
 {
   const auto it = mCalls.find(aReply.mId);
   if (it != mCalls.end()) {
-    it->second.mRespond(mProtocol.Render(aReply));
+    Answer(it->second, mProtocol.Render(aReply), "leader");
     mCalls.erase(it);
   }
 }
@@ -98,7 +126,7 @@
 OperatorPort::OnLeadershipLost()
 {
   for (const auto& [id, call] : mCalls) {
-    call.mRespond(mProtocol.Unavailable());
+    Answer(call, mProtocol.Unavailable(), "leadership_lost");
   }
   mCalls.clear();
 }
@@ -107,8 +135,8 @@
 OperatorPort::Tick(base::Time aNow)
 {
   for (auto it = mCalls.begin(); it != mCalls.end();) {
-    if (it->second.mDeadline <= aNow) {
-      it->second.mRespond(mProtocol.Unavailable());
+    if (aNow - it->second.mReceived >= kCallLimit) {
+      Answer(it->second, mProtocol.Unavailable(), "timed_out");
       it = mCalls.erase(it);
     } else {
       ++it;
--- a/dogwooddrum/daemon/OperatorPort.h
+++ b/dogwooddrum/daemon/OperatorPort.h
@@ -45,7 +45,9 @@
   struct Call
   {
     transport::ServerResponder mRespond;
-    base::Time mDeadline;
+    base::Time mReceived;
+    bool mReplaces = false;
+    protocol::CatalogVersion mVersion; ///< that the operator named; 0: none
   };
 
   void Handle(const transport::ServerRequest& aRequest,
@@ -53,6 +55,10 @@
   void Pass(const transport::ServerRequest& aRequest,
             protocol::WorkloadRequestBody aBody,
             const transport::ServerResponder& aResponder);
+  /** Logs the answer and sends it. */
+  static void Answer(const Call& aCall,
+                     transport::ServerResponse aResponse,
+                     const char* aReason);
 
   transport::Network& mNetwork;
   const OperatorProtocol& mProtocol;
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -412,6 +412,12 @@
       "catalog version {version} received",
       "This entry routes by the new version.",
       "Nothing." },
+    { LogEvent::OperatorAnswered,
+      LogLevel::Info,
+      "operator_answered",
+      "{call} of catalog {version}: {status} {reason} after {waited_ms} ms",
+      "A control member answered an operator.",
+      "redirected names the leader; for invalid see the response." },
   };
 }
 
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -92,6 +92,7 @@
   CatalogAdopted = 611,
   CallAnswered = 612,
   CatalogReceived = 613,
+  OperatorAnswered = 614,
 };
 
 /** What is fixed for one event. */
