Stop runs for urgent work at once, and wait for those that end soon

Cause: urgent work waited 500 ms for room that becomes free anyway, since the leader could not tell whether any would.

Change: a run whose listed progress ends within the time of a stop counts as room on its way; nothing is stopped for that room. For the rest stops are ordered in the decision that finds no room.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -123,6 +123,17 @@
   return it == aLeading.mRuns.end() || it->second.mTarget != aLife;
 }
 
+/** Returns whether a run will have ended by the time at which the room of
+ * another one could be had by stopping it. */
+bool
+EndsSoon(const Leading& aLeading, const RunId& aRun, const OpenRun& aOpen)
+{
+  // Only listed progress is trusted: an estimate may be off by any factor.
+  return aOpen.mProgress.mPercentPerSecond > 0 &&
+         TimeLeftOf(aLeading, aRun, aOpen) <=
+           aLeading.mOptions.mStopTime + kOrderTime;
+}
+
 std::vector<WorkerView>
 MakeViews(const Leading& aLeading)
 {
@@ -170,7 +181,7 @@
     }
     WorkerView& view = views[it->second];
     view.mFree = view.mFree - open.mRoom;
-    if (open.mStopping || open.mEnding) {
+    if (open.mStopping || open.mEnding || EndsSoon(aLeading, run, open)) {
       view.mReleasing = view.mReleasing + open.mRoom;
     } else if (open.mCommitted && open.mPriority > 0) {
       Victim victim;
--- a/dogwooddrum/coordination/workloads/Evacuation.cpp
+++ b/dogwooddrum/coordination/workloads/Evacuation.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/** Time that an order to stop, the stop itself and its report need beside the
- * time that a target takes to stop a run. */
-constexpr base::Duration kOrderTime = base::Milliseconds(300);
 /** A run that needs this many times as long as its target stays is not given
  * the benefit of the doubt. */
 constexpr int kHopeless = 2;
--- a/dogwooddrum/coordination/workloads/Leading.h
+++ b/dogwooddrum/coordination/workloads/Leading.h
@@ -15,6 +15,10 @@
 
 namespace dogwooddrum::coordination::workloads {
 
+/** Time that an order to stop and the report of the end need, beside the time
+ * that a target takes to stop a run. */
+constexpr base::Duration kOrderTime = base::Milliseconds(300);
+
 /** A run that may hold room: proposed, or committed and not ended. */
 struct OpenRun
 {
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -56,7 +56,7 @@
   std::set<std::string> mLabels;
   Room mCapacity;
   Room mFree;
-  Room mReleasing; ///< of runs that are being stopped
+  Room mReleasing; ///< of runs that are being stopped, or end soon
   bool mUsable = true;
   bool mSuspect = false; ///< its last tasks failed
   std::vector<Victim> mVictims;
@@ -93,11 +93,9 @@
   std::int64_t mIdlePatienceMs = 2000;
   /** Longest wait for a near place. */
   std::int64_t mMostPatienceMs = 20000;
-  /** Time that urgent work waits for room that becomes free anyway before
-   * others are stopped. With the time of a stop (900 ms) it stays well below
-   * the 2900 ms within which guaranteed capacity returns. 200 ms served large
-   * pools better, but cost a small pool's least urgent class its floor. */
-  std::int64_t mPreemptAfterMs = 500;
+  /** Time that urgent work waits for room before others are stopped. Runs
+   * that will end within the time of a stop are waited for in any case. */
+  std::int64_t mPreemptAfterMs = 0;
 };
 
 /** Index of a worker for each task of the unit. */
--- a/tests/correctness/WorkloadPreemption.cpp
+++ b/tests/correctness/WorkloadPreemption.cpp
@@ -101,5 +101,22 @@
   EXPECT_EQ(world.Starts("ending"), 1) << "a run about to end was stopped";
 }
 
+// Urgent work waited 500 ms for room before anything was stopped for it, also
+// where nothing was about to end.
+TEST(WorkloadPreemption, UrgentWorkInAFullPoolOfLongRunsStopsOneAtOnce)
+{
+  WorkloadWorld world(FullPool(8));
+  world.Run(500);
+  world.SetRunTime("long", 60000);
+  world.Submit("long", "p2", OneStep(2, 1000, 8, false));
+  world.Run(2000);
+  world.Submit("urgent", "p0", OneStep(1, 1000, 8, false));
+  world.Run(1000);
+  // A target of this world stops a run in 300 ms; orders and reports take
+  // three times 100 ms at most.
+  EXPECT_GE(world.FirstStartMs("urgent"), 0);
+  EXPECT_LE(world.FirstStartMs("urgent"), 600);
+}
+
 } // namespace
 } // namespace dogwooddrum::tests
