Tell refused callers to return after as long as the outage has lasted

Cause: during an outage of control callers were told to return after one second, whatever the outage; four retries were used up within 5 s, and all callers of an entry returned in step.

Change: retry/ReturnDelay: the length of the outage so far, between 1 and 4 s, spread over a second. The adapter only renders it.

Tests: OutageReturns; with one second four retries end 5.6 s after the start of an outage of 9 s.

Ruled out: holding requests back until control returns, since nobody knows when that is.

--- /dev/null
+++ b/dogwooddrum/coordination/retry/ReturnDelay.cpp
@@ -0,0 +1,20 @@
+#include "dogwooddrum/coordination/retry/ReturnDelay.h"
+
+#include <algorithm>
+
+namespace dogwooddrum::coordination::retry {
+
+base::Duration
+ReturnDelay(const ReturnOptions& aOptions,
+            base::Duration aOutage,
+            double aUniform)
+{
+  constexpr base::Duration kSecond = base::Milliseconds(1000);
+  const auto spread = base::Duration(
+    static_cast<std::int64_t>(aUniform * static_cast<double>(kSecond.count())));
+  const auto delay =
+    std::clamp(aOutage + spread, aOptions.mLeast, aOptions.mMost);
+  return delay / kSecond * kSecond;
+}
+
+} // namespace dogwooddrum::coordination::retry
--- a/dogwooddrum/daemon/Adapters.h
+++ b/dogwooddrum/daemon/Adapters.h
@@ -61,7 +61,11 @@
   /** Returns the count of a queue's waiting workloads. */
   virtual transport::ServerResponse RenderCount(
     const protocol::WorkloadReply& aReply) const = 0;
-  virtual transport::ServerResponse Render(Refusal aRefusal) const = 0;
+  /** aReturnAfter: when the caller should return, if the refusal is not
+   * final. */
+  virtual transport::ServerResponse Render(
+    Refusal aRefusal,
+    base::Duration aReturnAfter) const = 0;
   /** Returns whether the request is the load balancer's probe. */
   virtual bool IsProbe(const transport::ServerRequest& aRequest) const = 0;
 };
--- a/dogwooddrum/daemon/GatewayHost.cpp
+++ b/dogwooddrum/daemon/GatewayHost.cpp
@@ -1,3 +1,4 @@
+#include "dogwooddrum/coordination/retry/ReturnDelay.h"
 #include "dogwooddrum/daemon/Clock.h"
 #include "dogwooddrum/daemon/ControlLinks.h"
 #include "dogwooddrum/daemon/EventLoop.h"
@@ -8,6 +9,7 @@
 #include <algorithm>
 #include <atomic>
 #include <map>
+#include <random>
 
 namespace dogwooddrum::daemon {
 
@@ -343,9 +345,17 @@
                    { "version", mCatalog.mVersion.Value() } });
   }
 
-  void Refuse(const PendingCall& aCall, Refusal aRefusal) const
+  /** Returns when a caller should return whom no leader could serve. */
+  base::Duration ReturnAfter()
   {
-    auto response = mProtocol.Render(aRefusal);
+    std::uniform_real_distribution<double> draw(0, 1);
+    return coordination::retry::ReturnDelay(
+      {}, Now() - mLastReply, draw(mRandom));
+  }
+
+  void Refuse(const PendingCall& aCall, Refusal aRefusal)
+  {
+    auto response = mProtocol.Render(aRefusal, ReturnAfter());
     LogAnswer(aCall, response.mStatus, ToString(aRefusal));
     aCall.mRespond(std::move(response));
   }
@@ -383,6 +393,7 @@
         mLinks->OnLeader(aRoute);
         mLinks->Learn(reply->mMembers);
         mLoop.Post([this, received = std::move(*reply)] {
+          mLastReply = Now();
           if (mPolls.count(received.mId) > 0) {
             OnCatalog(received);
           } else {
@@ -506,7 +517,9 @@
   protocol::Catalog mCatalog;
   base::Time mFreshUntil{};
   base::Time mNextPoll{};
-  base::Time mNextFetch{}; ///< later than now while one is under way
+  base::Time mNextFetch{};       ///< later than now while one is under way
+  base::Time mLastReply = Now(); ///< of the leader, or the start
+  std::mt19937 mRandom{ std::random_device{}() };
   std::uint64_t mLastCall = 0;
   std::map<base::RequestId, PendingCall> mCalls;
   std::map<base::RequestId, base::Time> mPolls; ///< by time of sending
--- /dev/null
+++ b/tests/correctness/OutageReturns.cpp
@@ -0,0 +1,56 @@
+// Guards the moment at which refused callers return: with few attempts they
+// must outlast an outage of control, without returning all at once.
+#include "dogwooddrum/coordination/retry/ReturnDelay.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace dogwooddrum::tests {
+namespace {
+
+using coordination::retry::ReturnDelay;
+
+base::Duration
+Ms(std::int64_t aMs)
+{
+  return base::Milliseconds(aMs);
+}
+
+// With one second for each of four retries, callers that were refused 1.6 s
+// into an outage of 9 s had used up their attempts after 5.6 s.
+TEST(OutageReturns, CallerWithFourRetriesOutlastsAnOutageOfNineSeconds)
+{
+  constexpr int kRetries = 4;
+  base::Duration at = Ms(1600);
+  for (int i = 0; i < kRetries; ++i) {
+    at += ReturnDelay({}, at, 0);
+  }
+  EXPECT_GE(at, Ms(9000));
+}
+
+TEST(OutageReturns, ShortOutageKeepsCallersAwayForASecondOnly)
+{
+  EXPECT_EQ(ReturnDelay({}, Ms(0), 0.9), Ms(1000));
+  EXPECT_EQ(ReturnDelay({}, Ms(900), 0), Ms(1000));
+}
+
+TEST(OutageReturns, LongOutageDoesNotKeepCallersAwayForLonger)
+{
+  EXPECT_EQ(ReturnDelay({}, Ms(60000), 0.5), Ms(4000));
+}
+
+TEST(OutageReturns, CallersRefusedTogetherReturnSpread)
+{
+  std::map<std::int64_t, int> returns;
+  for (int i = 0; i < 100; ++i) {
+    ++returns[base::ToMilliseconds(ReturnDelay({}, Ms(2500), i / 100.0))];
+  }
+  EXPECT_EQ(returns.size(), 2U);
+  for (const auto& [ms, count] : returns) {
+    EXPECT_LE(count, 60) << "at " << ms << " ms";
+  }
+}
+
+} // namespace
+} // namespace dogwooddrum::tests
--- a/tests/platform/PlatformFormats.cpp
+++ b/tests/platform/PlatformFormats.cpp
@@ -122,11 +122,17 @@
   EXPECT_EQ(status(CallKind::Submit, WorkloadResult::Uncertain), 504U);
   EXPECT_EQ(status(CallKind::Read, WorkloadResult::Unknown), 410U);
   EXPECT_EQ(status(CallKind::Cancel, WorkloadResult::Unknown), 410U);
-  EXPECT_EQ(callers->Render(Refusal::UnknownKey).mStatus, 401U);
-  EXPECT_EQ(callers->Render(Refusal::UnknownQueue).mStatus, 404U);
+  EXPECT_EQ(
+    callers->Render(Refusal::UnknownKey, base::Milliseconds(3000)).mStatus,
+    401U);
+  EXPECT_EQ(
+    callers->Render(Refusal::UnknownQueue, base::Milliseconds(3000)).mStatus,
+    404U);
   // 504 leaves open what 503 rules out.
-  EXPECT_EQ(callers->Render(Refusal::TimedOut).mStatus, 504U);
-  const auto later = callers->Render(Refusal::NotReady);
+  EXPECT_EQ(
+    callers->Render(Refusal::TimedOut, base::Milliseconds(3000)).mStatus, 504U);
+  const auto later =
+    callers->Render(Refusal::NotReady, base::Milliseconds(3000));
   EXPECT_EQ(later.mStatus, 503U);
   ASSERT_EQ(later.mHeaders.size(), 1U);
   EXPECT_EQ(later.mHeaders[0].first, "Retry-After");
