Stop less urgent runs for gangs that have waited long, and no task again and again

Cause: only work of priority 0 could have others stopped. And the youngest runs lose least, so that one that had just been started again was stopped again: up to 24 times a task.

Change: a gang that has waited 3 s has less urgent runs stopped for it, for at most a tenth of its own core-seconds. The cost of a victim is multiplied by its task's number of starts.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -196,8 +196,11 @@
                           ? 0
                           : LossOf(aLeading, member, other->second);
       }
-      victim.mCost =
-        victim.mLoss * std::pow(kPriorityWeight, leastUrgent - open.mPriority);
+      // A task that was stopped before is stopped again last, or small tasks
+      // would be begun many times and never end.
+      victim.mCost = victim.mLoss *
+                     std::pow(kPriorityWeight, leastUrgent - open.mPriority) *
+                     run.mRun.Value();
       view.mVictims.push_back(std::move(victim));
     }
   }
@@ -435,14 +438,16 @@
 };
 
 /** Returns the core-seconds of others' work that may be thrown away for the
- * unit: without a limit inside a guarantee, else no more than its own. */
+ * unit: without a limit inside a guarantee, else no more than its own, or a
+ * share of that if it is not urgent. */
 double
-AllowedLoss(const Unit& aUnit)
+AllowedLoss(const Unit& aUnit, const PlacementOptions& aOptions)
 {
   if (aUnit.mGuaranteed) {
     return std::numeric_limits<double>::infinity();
   }
-  return static_cast<double>(aUnit.mTasks.size()) *
+  const double share = aUnit.mPriority == 0 ? 1 : aOptions.mGangLossShare;
+  return share * static_cast<double>(aUnit.mTasks.size()) *
          CoresOf(RoomFor(*aUnit.mStep)) *
          static_cast<double>(aUnit.mStep->mEstimateMs) / 1000;
 }
@@ -473,33 +478,18 @@
   }
 }
 
-/** Keeps the room that the unit could have with the cheapest stops from the
- * units that follow, without stopping anything. Returns whether there is such
- * room. */
-bool
-HoldRoomFor(const Leading& aLeading,
-            const Unit& aUnit,
-            std::vector<WorkerView>& aViews)
-{
-  return PlanPreemption(aUnit,
-                        aUnit.mPriority,
-                        std::numeric_limits<double>::infinity(),
-                        aViews,
-                        aLeading.mOptions.mPlacement)
-    .has_value();
-}
-
-/** Makes room for urgent work: at first holds what becomes free anyway, then
- * stops others. Returns whether room is on its way. */
+/** Makes room for a unit by stopping less urgent runs; for a gang without
+ * urgency only after some time. Returns whether room is on its way. */
 bool
 MakeRoom(Leading& aLeading, const Unit& aUnit, std::vector<WorkerView>& aViews)
 {
   const auto& options = aLeading.mOptions.mPlacement;
-  if (aUnit.mWaitedMs < options.mPreemptAfterMs) {
-    return HoldRoomFor(aLeading, aUnit, aViews);
+  if (aUnit.mPriority > 0 && (aUnit.mTasks.size() < 2 ||
+                              aUnit.mWaitedMs < options.mGangPreemptAfterMs)) {
+    return false;
   }
-  const auto plan =
-    PlanPreemption(aUnit, aUnit.mPriority, AllowedLoss(aUnit), aViews, options);
+  const auto plan = PlanPreemption(
+    aUnit, aUnit.mPriority, AllowedLoss(aUnit, options), aViews, options);
   if (!plan) {
     return false;
   }
@@ -643,7 +633,7 @@
       placed.Count(unit, *assignment, views);
       continue;
     }
-    const bool roomComes = urgent && MakeRoom(aLeading, unit, views);
+    const bool roomComes = MakeRoom(aLeading, unit, views);
     full = roomComes ? nullptr : unit.mStep;
   }
 }
