Take back stops for gangs without urgency and the cost of starts

The cost of starts makes older runs the victims, which throws more away a stop.

Conclusion: gangs of the class between still wait long beside a stream of small tasks; room for them has to be held by predicted ends instead of stops.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -196,11 +196,8 @@
                           ? 0
                           : LossOf(aLeading, member, other->second);
       }
-      // A task that was stopped before is stopped again last, or small tasks
-      // would be begun many times and never end.
-      victim.mCost = victim.mLoss *
-                     std::pow(kPriorityWeight, leastUrgent - open.mPriority) *
-                     run.mRun.Value();
+      victim.mCost =
+        victim.mLoss * std::pow(kPriorityWeight, leastUrgent - open.mPriority);
       view.mVictims.push_back(std::move(victim));
     }
   }
@@ -438,16 +435,14 @@
 };
 
 /** Returns the core-seconds of others' work that may be thrown away for the
- * unit: without a limit inside a guarantee, else no more than its own, or a
- * share of that if it is not urgent. */
+ * unit: without a limit inside a guarantee, else no more than its own. */
 double
-AllowedLoss(const Unit& aUnit, const PlacementOptions& aOptions)
+AllowedLoss(const Unit& aUnit)
 {
   if (aUnit.mGuaranteed) {
     return std::numeric_limits<double>::infinity();
   }
-  const double share = aUnit.mPriority == 0 ? 1 : aOptions.mGangLossShare;
-  return share * static_cast<double>(aUnit.mTasks.size()) *
+  return static_cast<double>(aUnit.mTasks.size()) *
          CoresOf(RoomFor(*aUnit.mStep)) *
          static_cast<double>(aUnit.mStep->mEstimateMs) / 1000;
 }
@@ -478,18 +473,33 @@
   }
 }
 
-/** Makes room for a unit by stopping less urgent runs; for a gang without
- * urgency only after some time. Returns whether room is on its way. */
+/** Keeps the room that the unit could have with the cheapest stops from the
+ * units that follow, without stopping anything. Returns whether there is such
+ * room. */
+bool
+HoldRoomFor(const Leading& aLeading,
+            const Unit& aUnit,
+            std::vector<WorkerView>& aViews)
+{
+  return PlanPreemption(aUnit,
+                        aUnit.mPriority,
+                        std::numeric_limits<double>::infinity(),
+                        aViews,
+                        aLeading.mOptions.mPlacement)
+    .has_value();
+}
+
+/** Makes room for urgent work: at first holds what becomes free anyway, then
+ * stops others. Returns whether room is on its way. */
 bool
 MakeRoom(Leading& aLeading, const Unit& aUnit, std::vector<WorkerView>& aViews)
 {
   const auto& options = aLeading.mOptions.mPlacement;
-  if (aUnit.mPriority > 0 && (aUnit.mTasks.size() < 2 ||
-                              aUnit.mWaitedMs < options.mGangPreemptAfterMs)) {
-    return false;
+  if (aUnit.mWaitedMs < options.mPreemptAfterMs) {
+    return HoldRoomFor(aLeading, aUnit, aViews);
   }
-  const auto plan = PlanPreemption(
-    aUnit, aUnit.mPriority, AllowedLoss(aUnit, options), aViews, options);
+  const auto plan =
+    PlanPreemption(aUnit, aUnit.mPriority, AllowedLoss(aUnit), aViews, options);
   if (!plan) {
     return false;
   }
@@ -633,7 +643,7 @@
       placed.Count(unit, *assignment, views);
       continue;
     }
-    const bool roomComes = MakeRoom(aLeading, unit, views);
+    const bool roomComes = urgent && MakeRoom(aLeading, unit, views);
     full = roomComes ? nullptr : unit.mStep;
   }
 }
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -93,13 +93,9 @@
   std::int64_t mIdlePatienceMs = 2000;
   /** Longest wait for a near place. */
   std::int64_t mMostPatienceMs = 20000;
-  /** Time that a gang without urgency waits for room before less urgent runs
-   * are stopped for it. Small tasks take each hole as it opens, so that a gang
-   * would wait until they run out. */
-  std::int64_t mGangPreemptAfterMs = 3000;
-  /** Largest share of such a gang's own core-seconds that the stops for it
-   * throw away. */
-  double mGangLossShare = 0.1;
+  /** Time that urgent work waits for room before others are stopped. Runs
+   * that will end within the time of a stop are waited for in any case. */
+  std::int64_t mPreemptAfterMs = 0;
 };
 
 /** Index of a worker for each task of the unit. */
