Renew leases of listed targets only, and stop runs that stand still

Cause 1: an agent's reports renewed the lease of its target also when the target had been dead for long, so that its runs never started elsewhere; and an agent that had restarted believed a late announcement of a target that had left, whose lease was then renewed for good. Found while looking for the troubles of similar systems.

Change: a report carries the age of the target's newest list. Without a list of the last 2 s there is no new lease, without one of the last 1.5 s no new work. A run that is listed and makes no progress for as long as a new start would cost is stopped (Stalls); its worker gets work last. The wait before stops, which is 0 now, is removed.

Ruled out: that silence is taken for standing still (lists older than 1 s are not judged).

Tests: SilentTargets, ExpiredPermissions, WorkloadStalls; without the two mechanisms two, one and one of them fail.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -11,6 +11,9 @@
 
 /** Placement also depends on time: patience, suspicion, occurrences. */
 constexpr base::Duration kDecisionInterval = base::Milliseconds(250);
+/** A worker whose target was not listed for longer gets no new work: several
+ * lists are missing, and a gang would wait for its member there. */
+constexpr base::Duration kLargestListAge = base::Milliseconds(1500);
 /** How much more a lost core-second of the next more urgent priority counts;
  * the users value work of priority 1 three times as high as of priority 2. */
 constexpr double kPriorityWeight = 3;
@@ -134,6 +137,19 @@
            aLeading.mOptions.mStopTime + kOrderTime;
 }
 
+bool
+IsSuspect(const Leading& aLeading, const Worker& aWorker)
+{
+  const auto& options = aLeading.mOptions;
+  const auto isRecent = [&](base::Time aTime) {
+    return aTime != base::Time() &&
+           aLeading.mNow - aTime < options.mSuspectTime;
+  };
+  return (aWorker.mFailuresInARow >= options.mSuspectAfter &&
+          isRecent(aWorker.mLastFailure)) ||
+         isRecent(aWorker.mStalledAt);
+}
+
 std::vector<WorkerView>
 MakeViews(const Leading& aLeading)
 {
@@ -152,11 +168,10 @@
                        static_cast<std::int64_t>(capacity.mMemoryMb),
                        static_cast<std::int64_t>(capacity.mAccelerators) };
     view.mFree = view.mCapacity;
-    view.mUsable =
-      worker.mUp && !worker.mFacts.mLeaving && worker.mSession != Session();
-    view.mSuspect =
-      worker.mFailuresInARow >= aLeading.mOptions.mSuspectAfter &&
-      aLeading.mNow - worker.mLastFailure < aLeading.mOptions.mSuspectTime;
+    view.mUsable = worker.mUp && !worker.mFacts.mLeaving &&
+                   worker.mSession != Session() &&
+                   aLeading.mNow - worker.mListedAt < kLargestListAge;
+    view.mSuspect = IsSuspect(aLeading, worker);
     index.emplace(life, views.size());
     views.push_back(std::move(view));
   }
@@ -473,33 +488,16 @@
   }
 }
 
-/** Keeps the room that the unit could have with the cheapest stops from the
- * units that follow, without stopping anything. Returns whether there is such
- * room. */
-bool
-HoldRoomFor(const Leading& aLeading,
-            const Unit& aUnit,
-            std::vector<WorkerView>& aViews)
-{
-  return PlanPreemption(aUnit,
-                        aUnit.mPriority,
-                        std::numeric_limits<double>::infinity(),
-                        aViews,
-                        aLeading.mOptions.mPlacement)
-    .has_value();
-}
-
-/** Makes room for urgent work: at first holds what becomes free anyway, then
- * stops others. Returns whether room is on its way. */
+/** Makes room for urgent work by stopping less urgent runs. Returns whether
+ * room is on its way. */
 bool
 MakeRoom(Leading& aLeading, const Unit& aUnit, std::vector<WorkerView>& aViews)
 {
-  const auto& options = aLeading.mOptions.mPlacement;
-  if (aUnit.mWaitedMs < options.mPreemptAfterMs) {
-    return HoldRoomFor(aLeading, aUnit, aViews);
-  }
-  const auto plan =
-    PlanPreemption(aUnit, aUnit.mPriority, AllowedLoss(aUnit), aViews, options);
+  const auto plan = PlanPreemption(aUnit,
+                                   aUnit.mPriority,
+                                   AllowedLoss(aUnit),
+                                   aViews,
+                                   aLeading.mOptions.mPlacement);
   if (!plan) {
     return false;
   }
@@ -622,6 +620,7 @@
   aLeading.mNextDecision = aLeading.mNow + kDecisionInterval;
   BeginOccurrences(aLeading);
   StopDoomedRuns(aLeading);
+  StopStalledRuns(aLeading);
   auto views = MakeViews(aLeading);
   auto units = CollectUnits(aLeading, views);
   const WorkloadStep* full = nullptr; // no room for another task of this step
--- a/dogwooddrum/coordination/workloads/Leading.h
+++ b/dogwooddrum/coordination/workloads/Leading.h
@@ -47,6 +47,8 @@
   bool mUp = false; ///< its lease has not ended
   bool mDirty = false;
   protocol::FencingToken mFence;
+  base::Time mHeardSince; ///< first report to this leader
+  base::Time mListedAt;   ///< newest list that its agent got of it
   base::Time mLastGrant;
   /** Earliest time at which it is gone, if it leaves and has said so. */
   std::optional<base::Time> mLeavesAt;
@@ -57,6 +59,7 @@
   std::set<RunId> mPendingEnds; ///< proposed and not applied
   std::uint32_t mFailuresInARow = 0;
   base::Time mLastFailure;
+  base::Time mStalledAt; ///< when a run here was last seen standing still
 };
 
 /** A caller that waits for a commit. */
@@ -84,6 +87,7 @@
   base::Time mLeadingSince;
   base::Time mNextForget;
   base::Time mNextDecision; ///< placement also depends on time
+  base::Time mNextStallCheck;
   std::int64_t mUnixOffsetMs = 0;
   std::vector<std::string> mMembers; ///< link addresses of the group
   std::uint64_t mOrderSequence = 0;
@@ -167,6 +171,10 @@
 /** Stops runs that cannot end before their target has left. */
 void
 StopDoomedRuns(Leading& aLeading);
+/** Stops runs that stand still for longer than a new start costs, and marks
+ * their workers. */
+void
+StopStalledRuns(Leading& aLeading);
 
 // Decisions.
 
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -93,9 +93,6 @@
   std::int64_t mIdlePatienceMs = 2000;
   /** Longest wait for a near place. */
   std::int64_t mMostPatienceMs = 20000;
-  /** Time that urgent work waits for room before others are stopped. Runs
-   * that will end within the time of a stop are waited for in any case. */
-  std::int64_t mPreemptAfterMs = 0;
 };
 
 /** Index of a worker for each task of the unit. */
--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -350,6 +350,10 @@
   }
   report.mPastLives = mPastLives;
   report.mListed = mListed;
+  if (mListed) {
+    report.mListedAgoMs =
+      static_cast<std::uint64_t>(base::ToMilliseconds(aNow - mClockAt));
+  }
   report.mRunning = mRunning;
   report.mEnded = mEnded;
   for (const auto& [run, why] : mNeverRan) {
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+/** An agent that has not had a list of its target for longer than this gets no
+ * new lease: its target may be dead, and a lease that is renewed on its behalf
+ * would keep its runs from starting elsewhere for good. Shorter than a lease,
+ * and longer than a few lost calls. */
+constexpr std::uint64_t kGrantListAgeMs = 2000;
+
 /** Time after the newest grant at which the target has ended everything. */
 base::Duration
 LeaseBound(const SchedulerOptions& aOptions)
@@ -117,6 +123,7 @@
   const auto [it, isNew] = aLeading.mWorkers.try_emplace(life);
   Worker& worker = it->second;
   if (isNew) {
+    worker.mHeardSince = aLeading.mNow;
     worker.mFence =
       life.mBornMs > 0 ? protocol::FenceOf(life) : NextFence(aLeading);
     StopRunsOfEarlierLives(aLeading, life);
@@ -125,15 +132,6 @@
       aReport.mSequence <= worker.mReportSequence) {
     return nullptr;
   }
-  if (isNew || !worker.mUp) {
-    Tell(aLeading,
-         Note::Kind::WorkerJoined,
-         { { "target", life.mInstance },
-           { "agent", aReport.mAgentName },
-           { "pool", aReport.mTarget->mPool.Value() },
-           { "rack", aReport.mTarget->mRack.Value() } });
-    aLeading.mDecide = true;
-  }
   if (worker.mFacts.mLeaving != aReport.mTarget->mLeaving) {
     aLeading.mDecide = true;
   }
@@ -354,10 +352,25 @@
   const TargetLife& life = aReport.mTarget->mLife;
   if (aReport.mListed) {
     TakeEnds(aLeading, life, *worker, aReport);
-    TakeRunning(aLeading, *worker, aReport);
   }
-  worker->mUp = true;
   worker->mDirty = true;
+  if (!aReport.mListed || aReport.mListedAgoMs > kGrantListAgeMs) {
+    return;
+  }
+  TakeRunning(aLeading, *worker, aReport);
+  if (!worker->mUp) {
+    worker->mUp = true;
+    Tell(aLeading,
+         Note::Kind::WorkerJoined,
+         { { "target", life.mInstance },
+           { "agent", aReport.mAgentName },
+           { "pool", aReport.mTarget->mPool.Value() },
+           { "rack", aReport.mTarget->mRack.Value() } });
+    aLeading.mDecide = true;
+  }
+  worker->mListedAt =
+    aLeading.mNow -
+    base::Milliseconds(static_cast<std::int64_t>(aReport.mListedAgoMs));
   worker->mLastGrant = aLeading.mNow;
   worker->mLeaseUntilUs =
     aReport.mSentAtUs + aLeading.mOptions.mTaskLease.count();
@@ -378,14 +391,17 @@
       aLeading.mDecide = true;
     }
   }
-  // Runs on targets that have not been reported to this leader.
+  // Runs on targets that have had no lease of this leader.
   if (aLeading.mNow - aLeading.mLeadingSince < bound) {
     return;
   }
   std::set<TargetLife> unheard;
   for (const auto& [run, open] : aLeading.mRuns) {
-    if (open.mCommitted && !open.mEnding &&
-        aLeading.mWorkers.count(open.mTarget) == 0) {
+    const auto worker = aLeading.mWorkers.find(open.mTarget);
+    const bool leased = worker != aLeading.mWorkers.end() &&
+                        (worker->second.mUp ||
+                         aLeading.mNow - worker->second.mHeardSince < bound);
+    if (open.mCommitted && !open.mEnding && !leased) {
       unheard.insert(open.mTarget);
     }
   }
--- a/dogwooddrum/protocol/WorkloadMessages.h
+++ b/dogwooddrum/protocol/WorkloadMessages.h
@@ -248,7 +248,8 @@
   std::int64_t mSentAtUs = 0;  ///< on the agent's clock; echoed in a grant
   std::optional<TargetFacts> mTarget; ///< none: no target is known
   std::vector<PastLife> mPastLives;   ///< left, or replaced by mTarget
-  bool mListed = false; ///< the two lists were read from this life
+  bool mListed = false;           ///< the two lists were read from this life
+  std::uint64_t mListedAgoMs = 0; ///< age of the lists
   std::vector<RunningTask> mRunning;
   std::vector<EndedTask> mEnded; ///< beyond the acknowledged ones
   template<class Archive>
@@ -261,6 +262,7 @@
              mTarget,
              mPastLives,
              mListed,
+             mListedAgoMs,
              mRunning,
              mEnded);
   }
--- a/tests/support/WorkloadWorld.cpp
+++ b/tests/support/WorkloadWorld.cpp
@@ -94,6 +94,7 @@
   bool mFailing = false;
   std::int64_t mGoneAt = std::numeric_limits<std::int64_t>::max();
   std::int64_t mStalledUntil = 0;
+  bool mTargetDead = false;
 };
 
 WorkloadWorld::WorkloadWorld(const WorkloadWorldOptions& aOptions)
@@ -221,6 +222,13 @@
   Leave(aWorker);
 }
 
+void
+WorkloadWorld::KillTarget(std::size_t aWorker)
+{
+  mWorkers[aWorker]->mTargetDead = true;
+  mWorkers[aWorker]->mTarget->mRuns.clear();
+}
+
 void
 WorkloadWorld::Stall(std::size_t aWorker, std::int64_t aForMs)
 {
@@ -456,6 +464,12 @@
     target.mRuns.clear();
     return;
   }
+  if (worker.mTargetDead) {
+    if (mNowMs >= worker.mNextHold) {
+      Report(aWorker);
+    }
+    return;
+  }
   AdvanceTarget(aWorker);
   if (mNowMs >= worker.mNextAnnounce) {
     worker.mNextAnnounce = mNowMs + kAnnounceMs;
@@ -488,7 +502,6 @@
 {
   Worker& worker = *mWorkers[aWorker];
   Target& target = *worker.mTarget;
-  worker.mNextHold = mNowMs + kHoldMs / 5;
   const auto renewal = worker.mAgent->NextRenewal(mNow);
   if (renewal && renewal->mLife == target.mFacts.mLife &&
       renewal->mFence.Value() >= target.mToken) {
@@ -527,6 +540,14 @@
                              mNow,
                              mNow);
   }
+  Report(aWorker);
+}
+
+void
+WorkloadWorld::Report(std::size_t aWorker)
+{
+  Worker& worker = *mWorkers[aWorker];
+  worker.mNextHold = mNowMs + kHoldMs / 5;
   const auto report = worker.mAgent->MakeReport(mNow);
   if (worker.mCutUntil > mNowMs || Chance(mOptions.mFaults.mLostMessages)) {
     return;
--- a/tests/support/WorkloadWorld.h
+++ b/tests/support/WorkloadWorld.h
@@ -66,6 +66,8 @@
   /** Announces that the worker leaves, and takes its VM away after aStaysMs,
    * with its target and its agent. */
   void TakeAway(std::size_t aWorker, std::int64_t aStaysMs);
+  /** Ends the target without a word; its agent lives on. */
+  void KillTarget(std::size_t aWorker);
   /** Lets the runs on a worker stand still. */
   void Stall(std::size_t aWorker, std::int64_t aForMs);
   void ChangeLeader();
@@ -94,6 +96,7 @@
   void RunWorker(std::size_t aWorker);
   void SendOrders(std::size_t aWorker);
   void Renew(std::size_t aWorker);
+  void Report(std::size_t aWorker);
   void CallTarget(std::size_t aWorker,
                   const coordination::workloads::OrderCall& aCall);
   coordination::workloads::OrderOutcome Carry(
