End the runs of replaced targets under a new leader at once

Cause: a VM that reports a target of another id proves that the old target's runs are over, but a leader knew which agent spoke for a target only from the reports that it had heard itself. After a power loss of leader and VMs the new leader waited for the longest lease, and previews that had started up to 4 s before the loss were declared lapsed 13 to 19 s late.

Change: the change BindTarget records the target of each agent in the replicated state before the first start there; a new leader begins with these bindings. Bindings of agents that are silent for the retention time and have no open run are removed. A start time that goes back is no proof, since clocks may be set back.

The check in ListedRunOfAnUnknownStepIsStopped counted the proposed changes; it now names both of them.

Without the leader's use of the bindings two tests of LostTargets fail.

--- a/dogwooddrum/coordination/jobs/JobState.cpp
+++ b/dogwooddrum/coordination/jobs/JobState.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 /** First bytes of a saved state; the digit is the format's version. */
-constexpr std::string_view kMagic = "DWDJOBS1";
+constexpr std::string_view kMagic = "DWDJOBS2";
+/** The preceding format, which ends before workloads::State::BoundTargets. */
+constexpr std::string_view kMagicWithoutBindings = "DWDJOBS1";
 
 /** Returns the stored bytes of the job's answer or its attempt's parts. */
 std::uint64_t
@@ -44,8 +46,11 @@
 {
   std::string_view in(aBytes);
   std::uint64_t checksum = 0;
-  if (in.size() < kMagic.size() + sizeof checksum ||
-      in.substr(0, kMagic.size()) != kMagic) {
+  if (in.size() < kMagic.size() + sizeof checksum) {
+    return false;
+  }
+  const auto magic = in.substr(0, kMagic.size());
+  if (magic != kMagic && magic != kMagicWithoutBindings) {
     return false;
   }
   in.remove_prefix(kMagic.size());
@@ -54,7 +59,11 @@
   if (base::Checksum(in) != checksum) {
     return false;
   }
-  auto image = protocol::Decode<StateImage>(in);
+  std::string body(in);
+  if (magic == kMagicWithoutBindings) {
+    body.append(sizeof(std::uint64_t), '\0'); // the size of an empty map
+  }
+  auto image = protocol::Decode<StateImage>(body);
   if (!image) {
     return false;
   }
--- a/dogwooddrum/coordination/workloads/State.cpp
+++ b/dogwooddrum/coordination/workloads/State.cpp
@@ -272,6 +272,15 @@
       mState.mCatalog = aChange.mCatalog;
     }
   }
+
+  void operator()(const BindTarget& aChange)
+  {
+    if (aChange.mTarget.mInstance.empty()) {
+      mState.mBoundTargets.erase(aChange.mAgentName);
+    } else {
+      mState.mBoundTargets[aChange.mAgentName] = aChange.mTarget;
+    }
+  }
 };
 
 bool
--- a/dogwooddrum/coordination/workloads/State.h
+++ b/dogwooddrum/coordination/workloads/State.h
@@ -121,13 +121,27 @@
   }
 };
 
+/** Records the target that an agent speaks for. A leader proposes it before the
+ * first start on the target. An empty instance removes the agent. */
+struct BindTarget
+{
+  std::string mAgentName;
+  TargetIncarnation mTarget;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mAgentName, mTarget);
+  }
+};
+
 using ChangeBody = std::variant<Accept,
                                 Cancel,
                                 BeginOccurrence,
                                 StartRuns,
                                 EndRun,
                                 PurgeEnded,
-                                AdoptCatalog>;
+                                AdoptCatalog,
+                                BindTarget>;
 
 /** One command of the replicated log. */
 struct Change
@@ -241,11 +255,18 @@
   /** Returns the workloads that have not ended or still have an open run. */
   const std::set<WorkloadId>& Active() const { return mActive; }
   const Catalog& CurrentCatalog() const { return mCatalog; }
+  /** Returns the newest bound target of each agent, by the agent's name. An
+   * agent runs on one VM, so that its next target proves that the runs of this
+   * one are over. */
+  const std::map<std::string, TargetIncarnation>& BoundTargets() const
+  {
+    return mBoundTargets;
+  }
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mWorkloads, mActive, mCatalog);
+    aArchive(mWorkloads, mActive, mCatalog, mBoundTargets);
   }
 
 private:
@@ -254,6 +275,7 @@
   std::map<WorkloadId, WorkloadRecord> mWorkloads;
   std::set<WorkloadId> mActive;
   Catalog mCatalog;
+  std::map<std::string, TargetIncarnation> mBoundTargets;
 };
 
 /** Returns the spec's step of a task. Precondition: it exists. */
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -115,6 +115,20 @@
                                 aLeader.mFencingTokenCounter);
 }
 
+/** Records which target the agent speaks for, so that the next leader knows
+ * whose runs are over once the agent reports another target. */
+void
+ProposeBinding(LeaderContext& aLeader,
+               const std::string& aAgentName,
+               const TargetIncarnation& aTargetIncarnation)
+{
+  const auto& bound = aLeader.mState->BoundTargets();
+  const auto it = bound.find(aAgentName);
+  if (it == bound.end() || it->second != aTargetIncarnation) {
+    Propose(aLeader, BindTarget{ aAgentName, aTargetIncarnation });
+  }
+}
+
 /** Updates the data of the reporting worker, and adds it if it is new. Returns
  * the worker, or null if the report is outdated. */
 Worker*
@@ -125,10 +139,13 @@
   const TargetIncarnation& incarnation = aReport.mTarget->mTargetIncarnation;
   auto& known = aLeader.mTargetByAgent[aReport.mAgentName];
   if (known != incarnation && !known.mInstance.empty()) {
-    if (incarnation.mStartMs < known.mStartMs) {
+    if (incarnation.mStartMs >= known.mStartMs) {
+      RemoveEndedWorker(aLeader, known, &incarnation);
+    } else if (aLeader.mWorkers.count(known) > 0) {
       return nullptr;
     }
-    RemoveEndedWorker(aLeader, known, &incarnation);
+    // Else an earlier leader has bound the known target, and the VM's clock may
+    // have been set back since. This proves nothing about the target's runs.
   }
   known = incarnation;
   const auto [it, isNew] = aLeader.mWorkers.try_emplace(incarnation);
@@ -139,6 +156,7 @@
                              ? protocol::FencingTokenOf(incarnation)
                              : NextFencingToken(aLeader);
     StopRunsOfEarlierIncarnations(aLeader, incarnation);
+    ProposeBinding(aLeader, aReport.mAgentName, incarnation);
   }
   if (worker.mAgentIncarnation == aReport.mAgent &&
       aReport.mSequence <= worker.mReportSequence) {
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -53,10 +53,6 @@
 void
 PurgeExpiredWorkloads(LeaderContext& aLeader)
 {
-  if (aLeader.mNow < aLeader.mNextPurge) {
-    return;
-  }
-  aLeader.mNextPurge = aLeader.mNow + kPurgeInterval;
   const std::int64_t before =
     UnixMs(aLeader) - base::ToMilliseconds(aLeader.mOptions.mRetention);
   for (const auto& [id, workload] : aLeader.mState->Workloads()) {
@@ -67,6 +63,41 @@
   }
 }
 
+/** Removes the bindings of agents that have not reported for as long as ended
+ * workloads are kept, and whose targets have no open run. */
+void
+PurgeUnusedBindings(LeaderContext& aLeader)
+{
+  if (aLeader.mNow - aLeader.mLeadingSince < aLeader.mOptions.mRetention) {
+    return;
+  }
+  std::set<TargetIncarnation> used;
+  for (const auto& [run, open] : aLeader.mRuns) {
+    used.insert(open.mTarget);
+  }
+  for (const auto& [incarnation, worker] : aLeader.mWorkers) {
+    if (aLeader.mNow - worker.mListedAt < aLeader.mOptions.mRetention) {
+      used.insert(incarnation);
+    }
+  }
+  for (const auto& [agent, target] : aLeader.mState->BoundTargets()) {
+    if (used.count(target) == 0) {
+      Propose(aLeader, BindTarget{ agent, {} });
+    }
+  }
+}
+
+void
+PurgeExpiredState(LeaderContext& aLeader)
+{
+  if (aLeader.mNow < aLeader.mNextPurge) {
+    return;
+  }
+  aLeader.mNextPurge = aLeader.mNow + kPurgeInterval;
+  PurgeExpiredWorkloads(aLeader);
+  PurgeUnusedBindings(aLeader);
+}
+
 void
 StoreCatalogForDeltas(LeaderContext& aLeader)
 {
@@ -159,6 +190,7 @@
     }
   }
   void operator()(const PurgeEnded&) const {}
+  void operator()(const BindTarget&) const {}
   void operator()(const AdoptCatalog& aChange) const
   {
     StoreCatalogForDeltas(mLeader);
@@ -213,6 +245,7 @@
   leader.mNow = aNow;
   leader.mLeadingSince = aNow;
   leader.mNextPurge = aNow + kPurgeInterval;
+  leader.mTargetByAgent = leader.mState->BoundTargets();
   StoreCatalogForDeltas(leader);
   for (const WorkloadId& id : leader.mState->Active()) {
     const WorkloadRecord* workload = leader.mState->Find(id);
@@ -303,7 +336,7 @@
   mImpl->mNow = aNow;
   if (mImpl->mIsLeader) {
     CheckLeases(*mImpl);
-    PurgeExpiredWorkloads(*mImpl);
+    PurgeExpiredState(*mImpl);
   }
 }
 
--- a/tests/error/DelayedStarts.cpp
+++ b/tests/error/DelayedStarts.cpp
@@ -136,7 +136,10 @@
                                  protocol::RunNumber(1) };
   scheduler.OnReport(Session(1), ReportOf(kPresent, { unknown }), At(10));
   const auto output = scheduler.TakeOutput(At(20));
-  EXPECT_EQ(output.mChanges.size(), 1U) << "the workload's own task starts";
+  ASSERT_EQ(output.mChanges.size(), 2U);
+  EXPECT_TRUE(std::holds_alternative<BindTarget>(output.mChanges[0].mBody));
+  EXPECT_TRUE(std::holds_alternative<StartRuns>(output.mChanges[1].mBody))
+    << "the workload's own task starts";
   ASSERT_EQ(output.mMessages.size(), 1U);
   const auto& orders =
     std::get<protocol::WorkerOrders>(output.mMessages[0].mBody);
--- /dev/null
+++ b/tests/error/LostTargets.cpp
@@ -0,0 +1,130 @@
+// Guards against tasks that wait for the lease of a target which is known to be
+// gone, and against starting them again while the target may still run them.
+#include "tests/support/WorkloadSimulation.h"
+
+#include "dogwooddrum/base/Checksum.h"
+#include "dogwooddrum/coordination/jobs/JobState.h"
+
+#include <gtest/gtest.h>
+
+namespace dogwooddrum::tests {
+namespace {
+
+using namespace coordination::workloads;
+using protocol::TargetIncarnation;
+
+const TargetIncarnation kLost{ "i-lost", 2000 };
+const TargetIncarnation kNext{ "i-next", 3000 };
+const TargetIncarnation kSetBack{ "i-next", 1000 };
+const char* const kAgent = "agent";
+
+base::Time
+At(std::int64_t aMs)
+{
+  return base::Time(base::Milliseconds(aMs));
+}
+
+/** State with one workload whose only task runs on kLost. */
+State
+StateWithRun()
+{
+  State state;
+  Accept accept;
+  accept.mRequest.mId = protocol::WorkloadId("a");
+  protocol::WorkloadStep step;
+  step.mCount = 1;
+  accept.mRequest.mSpec.mSteps.push_back(step);
+  state.Apply(Change{ accept });
+  const protocol::RunId run{ { protocol::WorkloadId("a"), 0, 0, 0 },
+                             protocol::RunNumber(1) };
+  state.Apply(Change{ BindTarget{ kAgent, kLost } });
+  state.Apply(Change{ StartRuns{ { { run, kLost } } } });
+  return state;
+}
+
+/** Returns how many runs a new leader of aState ends when the agent reports the
+ * target. */
+std::size_t
+EndsAfterReport(const State& aState, const TargetIncarnation& aTarget)
+{
+  WorkloadScheduler scheduler({}, aState);
+  scheduler.BecomeLeader(base::Term(2), At(0));
+  protocol::WorkerReport report;
+  report.mAgent = base::Incarnation(7);
+  report.mAgentName = kAgent;
+  report.mSequence = 1;
+  report.mTarget = protocol::TargetInfo();
+  report.mTarget->mTargetIncarnation = aTarget;
+  report.mHasRunLists = true;
+  scheduler.OnReport(Session(1), report, At(100));
+  std::size_t ends = 0;
+  for (const Change& change : scheduler.TakeOutput(At(100)).mChanges) {
+    ends += std::holds_alternative<EndRun>(change.mBody) ? 1 : 0;
+  }
+  return ends;
+}
+
+// After a power loss of the leader and some VMs, previews waited 13 to 19 s for
+// the leases of targets that their VMs had replaced long before.
+TEST(LostTargets, TasksRestartUnderANewLeaderBeforeTheLeaseEnds)
+{
+  WorkloadSimulation sim({});
+  sim.RunFor(500);
+  sim.SetRunTime("preview", 2500);
+  sim.Submit("preview", "p0", OneStepSpec(12, 8000, 2, false));
+  sim.RunFor(500);
+  ASSERT_EQ(sim.StartCount("preview"), 12);
+  sim.RestartVm(0);
+  sim.RestartVm(1);
+  sim.ChangeLeader();
+  sim.RunFor(3500);
+  EXPECT_EQ(sim.Phase("preview"), protocol::WorkloadPhase::Complete);
+  EXPECT_TRUE(sim.Violations().empty());
+}
+
+TEST(LostTargets, ANewLeaderEndsTheRunsOfAReplacedTarget)
+{
+  EXPECT_EQ(EndsAfterReport(StateWithRun(), kNext), 1U);
+}
+
+TEST(LostTargets, ANewLeaderKeepsTheRunsOfTheSameTarget)
+{
+  EXPECT_EQ(EndsAfterReport(StateWithRun(), kLost), 0U);
+}
+
+// With a clock that is set back, a delayed report of an earlier target looks
+// the same, so that the report proves nothing.
+TEST(LostTargets, AnEarlierStartTimeIsNoProof)
+{
+  EXPECT_EQ(EndsAfterReport(StateWithRun(), kSetBack), 0U);
+}
+
+TEST(LostTargets, BindingsOutliveASnapshot)
+{
+  coordination::jobs::JobState state;
+  coordination::jobs::Batch batch;
+  batch.mCommands.emplace_back(Change{ BindTarget{ kAgent, kLost } });
+  state.Apply(batch);
+  coordination::jobs::JobState restored;
+  ASSERT_TRUE(restored.Restore(state.Save()));
+  EXPECT_EQ(restored.Workloads().BoundTargets().at(kAgent), kLost);
+}
+
+// A member that is updated starts from the snapshot of the earlier version.
+TEST(LostTargets, ASnapshotWithoutBindingsIsRead)
+{
+  coordination::jobs::JobState state;
+  std::string bytes = state.Save();
+  constexpr std::size_t kHeaderBytes = 16; // format name and checksum
+  std::string body = bytes.substr(kHeaderBytes);
+  body.resize(body.size() - sizeof(std::uint64_t)); // the size of the bindings
+  const std::uint64_t checksum = base::Checksum(body);
+  std::string earlier = "DWDJOBS1";
+  earlier.append(reinterpret_cast<const char*>(&checksum), sizeof checksum);
+  earlier += body;
+  EXPECT_TRUE(state.Restore(earlier));
+  EXPECT_EQ(state.Save(), bytes);
+}
+
+} // namespace
+} // namespace dogwooddrum::tests
--- a/tests/error/WorkloadRandomFaults.cpp
+++ b/tests/error/WorkloadRandomFaults.cpp
@@ -29,13 +29,11 @@
   }
 }
 
-class WorkloadFaultSeeds : public testing::TestWithParam<std::uint64_t>
-{};
-
-TEST_P(WorkloadFaultSeeds, KeepsInvariantsAndEnds)
+WorkloadSimulationOptions
+FaultyOptions(std::uint64_t aSeed)
 {
   WorkloadSimulationOptions options;
-  options.mSeed = GetParam();
+  options.mSeed = aSeed;
   auto& faults = options.mFaults;
   faults.mLostMessages = 0.1;
   faults.mUnansweredOrders = 0.1;
@@ -45,7 +43,13 @@
   faults.mAgentRestart = 0.0005;
   faults.mTargetRestart = 0.0003;
   faults.mAgentDisconnect = 0.0005;
-  WorkloadSimulation sim(options);
+  return options;
+}
+
+void
+RunUnderFaults(const WorkloadSimulationOptions& aOptions)
+{
+  WorkloadSimulation sim(aOptions);
   sim.RunFor(500);
   SubmitMix(sim, "a");
   sim.RunFor(15000);
@@ -54,7 +58,7 @@
   sim.ClearFaults();
   sim.RunFor(120000);
   for (const std::string& violation : sim.Violations()) {
-    ADD_FAILURE() << "seed " << GetParam() << " at " << violation;
+    ADD_FAILURE() << "seed " << aOptions.mSeed << " at " << violation;
   }
   for (const char* prefix : { "a", "b" }) {
     for (int i = 0; i < 4; ++i) {
@@ -63,13 +67,38 @@
         const auto phase = sim.Phase(id);
         EXPECT_TRUE(phase == protocol::WorkloadPhase::Complete ||
                     phase == protocol::WorkloadPhase::Failed)
-          << "seed " << GetParam() << ": " << id << " is "
+          << "seed " << aOptions.mSeed << ": " << id << " is "
           << protocol::ToString(phase);
       }
     }
   }
 }
 
+class WorkloadFaultSeeds : public testing::TestWithParam<std::uint64_t>
+{};
+
+TEST_P(WorkloadFaultSeeds, KeepsInvariantsAndEnds)
+{
+  RunUnderFaults(FaultyOptions(GetParam()));
+}
+
+class WorkloadPowerLossSeeds : public testing::TestWithParam<std::uint64_t>
+{};
+
+// A new leader ends the runs of a replaced target without waiting for their
+// leases, which must not start a task twice.
+TEST_P(WorkloadPowerLossSeeds, KeepsInvariantsAndEnds)
+{
+  auto options = FaultyOptions(GetParam());
+  options.mFaults.mVmRestart = 0.0005;
+  options.mFaults.mLeaderChange = 0.003;
+  RunUnderFaults(options);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         WorkloadPowerLossSeeds,
+                         testing::Range<std::uint64_t>(1, 61));
+
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          WorkloadFaultSeeds,
                          testing::Range<std::uint64_t>(1, kSeeds + 1));
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -107,11 +107,8 @@
   for (std::size_t i = 0; i < aOptions.mWorkers; ++i) {
     mWorkers.push_back(std::make_unique<Worker>());
     RestartTarget(i);
-    WorkerAgentOptions agent;
-    agent.mIncarnation = base::Incarnation(i * 1000 + 1);
-    agent.mName = "agent-" + std::to_string(i);
-    mWorkers[i]->mAgent = std::make_unique<WorkerAgent>(agent);
-    mWorkers[i]->mIncarnation = i * 1000 + 1;
+    mWorkers[i]->mIncarnation = i * 1000;
+    StartAgent(i);
   }
   mScheduler =
     std::make_unique<WorkloadScheduler>(WorkloadSchedulerOptions(), mState);
@@ -209,6 +206,27 @@
   worker.mSequence = 0;
 }
 
+void
+WorkloadSimulation::RestartVm(std::size_t aWorker)
+{
+  RestartTarget(aWorker);
+  auto& target = *mWorkers[aWorker]->mTarget;
+  target.mTargetInfo.mTargetIncarnation.mInstance +=
+    "-" + std::to_string(mNowMs);
+  StartAgent(aWorker);
+}
+
+/** Starts a new process of the agent, without the memory of the last one. */
+void
+WorkloadSimulation::StartAgent(std::size_t aWorker)
+{
+  Worker& worker = *mWorkers[aWorker];
+  WorkerAgentOptions options;
+  options.mIncarnation = base::Incarnation(++worker.mIncarnation);
+  options.mName = "agent-" + std::to_string(aWorker);
+  worker.mAgent = std::make_unique<WorkerAgent>(options);
+}
+
 void
 WorkloadSimulation::AnnounceLeave(std::size_t aWorker)
 {
@@ -588,15 +606,15 @@
   for (std::size_t i = 0; i < mWorkers.size(); ++i) {
     Worker& worker = *mWorkers[i];
     if (HappensWith(faults.mAgentRestart)) {
-      WorkerAgentOptions agent;
-      agent.mIncarnation = base::Incarnation(++worker.mIncarnation);
-      agent.mName = "agent-" + std::to_string(i);
-      worker.mAgent = std::make_unique<WorkerAgent>(agent);
+      StartAgent(i);
       worker.mNextAnnounce = mNowMs + kAnnounceMs;
     }
     if (HappensWith(faults.mTargetRestart)) {
       RestartTarget(i);
     }
+    if (HappensWith(faults.mVmRestart)) {
+      RestartVm(i);
+    }
     if (HappensWith(faults.mAgentDisconnect)) {
       DisconnectAgent(
         i, std::uniform_int_distribution<std::int64_t>(500, 10000)(mRandom));
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -31,6 +31,7 @@
   double mAgentRestart = 0;
   double mTargetRestart = 0;
   double mAgentDisconnect = 0; ///< cut off from the leader for up to 10 s
+  double mVmRestart = 0;       ///< see RestartVm
 };
 
 struct WorkloadSimulationOptions
@@ -63,6 +64,9 @@
   void MakeWorkerFail(std::size_t aWorker);
   void DisconnectAgent(std::size_t aWorker, std::int64_t aForMs);
   void RestartTarget(std::size_t aWorker);
+  /** Restarts a VM after a power loss: its agent has no memory, and its target
+   * has another id and no run. */
+  void RestartVm(std::size_t aWorker);
   void AnnounceLeave(std::size_t aWorker);
   /** Announces that the worker leaves, and removes its VM with the target and
    * the agent after aStaysMs. */
@@ -95,6 +99,7 @@
   void Commit();
   void Deliver(coordination::workloads::WorkloadSchedulerMessage aMessage);
   void RunWorker(std::size_t aWorker);
+  void StartAgent(std::size_t aWorker);
   void SendOrders(std::size_t aWorker);
   void Renew(std::size_t aWorker);
   void Report(std::size_t aWorker);
