--- /dev/null
+++ b/dogwooddrum/coordination/workloads/Objectives.h
@@ -0,0 +1,31 @@
+/** \file
+ * Defines what the catalog promises a workload: its queue and priority, the
+ * time by which it should be complete, and whether its client account
+ * guarantees it. Internal to this package.
+ */
+#pragma once
+
+#include "dogwooddrum/coordination/workloads/LeaderContext.h"
+
+namespace dogwooddrum::coordination::workloads {
+
+/** Returns the queue of the workload, or null if it was removed. */
+const protocol::Queue*
+QueueOf(const LeaderContext& aLeader, const WorkloadRecord& aWorkload);
+
+/** Returns the priority of the workload's queue; 0 if it was removed. */
+std::uint32_t
+PriorityOf(const LeaderContext& aLeader, const WorkloadRecord& aWorkload);
+
+/** Returns the Unix time, in ms, by which the occurrence should be complete. */
+std::int64_t
+DueAtMs(const WorkloadRecord& aWorkload,
+        const protocol::Queue& aQueue,
+        const OccurrenceRecord& aOccurrence);
+
+/** Returns the priority-0 workloads that fit into their accounts'
+ * guarantees, the oldest first. */
+std::set<WorkloadId>
+FindGuaranteed(const LeaderContext& aLeader);
+
+} // namespace dogwooddrum::coordination::workloads
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/Runs.cpp
@@ -0,0 +1,77 @@
+#include "dogwooddrum/coordination/workloads/LeaderContext.h"
+#include "dogwooddrum/coordination/workloads/Objectives.h"
+
+#include <algorithm>
+
+namespace dogwooddrum::coordination::workloads {
+
+std::vector<RunId>
+GangOf(const LeaderContext& aLeader, const RunId& aRun)
+{
+  const auto* workload = aLeader.mState->Find(aRun.mTask.mWorkload);
+  if (workload == nullptr || !StepOf(*workload, aRun.mTask).mGang) {
+    return { aRun };
+  }
+  std::vector<RunId> gang;
+  TaskId first = aRun.mTask;
+  first.mIndex = 0;
+  for (auto it = aLeader.mRuns.lower_bound(RunId{ first, RunNumber(0) });
+       it != aLeader.mRuns.end() &&
+       it->first.mTask.mWorkload == aRun.mTask.mWorkload &&
+       it->first.mTask.mOccurrence == aRun.mTask.mOccurrence &&
+       it->first.mTask.mStep == aRun.mTask.mStep;
+       ++it) {
+    gang.push_back(it->first);
+  }
+  return gang;
+}
+
+bool
+IsCheckpointing(const LeaderContext& aLeader, const RunId& aRun)
+{
+  const auto* workload = aLeader.mState->Find(aRun.mTask.mWorkload);
+  return workload != nullptr && StepOf(*workload, aRun.mTask).mCheckpointing;
+}
+
+base::Duration
+ExpectedTimeLeft(const LeaderContext& aLeader,
+                 const RunId& aRun,
+                 const OpenRun& aOpen)
+{
+  const auto* workload = aLeader.mState->Find(aRun.mTask.mWorkload);
+  if (workload == nullptr || StepOf(*workload, aRun.mTask).mLongRunning) {
+    return base::Duration::max();
+  }
+  if (const auto left = ProjectedTimeLeft(aOpen.mProgress, aLeader.mNow)) {
+    return *left;
+  }
+  const auto whole = aLeader.mRunTimeEstimator.ExpectedRunTime(
+    aRun.mTask,
+    workload->mQueueName,
+    StepOf(*workload, aRun.mTask).mEstimateMs);
+  return std::max(whole - (aLeader.mNow - aOpen.mStartedAt),
+                  base::Duration::zero());
+}
+
+void
+AddOpenRun(LeaderContext& aLeader, const RunId& aRun, const TaskRecord& aTask)
+{
+  const auto [it, isNew] = aLeader.mRuns.try_emplace(aRun);
+  OpenRun& open = it->second;
+  open.mCommitted = true;
+  if (isNew) {
+    const auto* workload = aLeader.mState->Find(aRun.mTask.mWorkload);
+    open.mTarget = aTask.mTarget;
+    open.mResources = ResourcesOf(StepOf(*workload, aRun.mTask));
+    open.mPriority = PriorityOf(aLeader, *workload);
+    open.mStartedAt = aLeader.mNow;
+    open.mCheckpoint = aTask.mCheckpoint;
+    open.mResumedFrom = aTask.mCheckpoint;
+  }
+  const auto worker = aLeader.mWorkers.find(open.mTarget);
+  if (worker != aLeader.mWorkers.end()) {
+    worker->second.mOrdersChanged = true;
+  }
+}
+
+} // namespace dogwooddrum::coordination::workloads
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -0,0 +1,174 @@
+#include "dogwooddrum/coordination/workloads/Units.h"
+
+#include "dogwooddrum/coordination/workloads/Objectives.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dogwooddrum::coordination::workloads {
+
+namespace {
+
+/** Collects the placement units that may start now, workload by workload. */
+class UnitCollector
+{
+public:
+  UnitCollector(LeaderContext& aLeader,
+                const std::vector<WorkerView>& aViews,
+                const std::set<WorkloadId>& aGuaranteed,
+                std::vector<PlacementUnit>& aUnits)
+    : mLeader(aLeader)
+    , mViews(aViews)
+    , mGuaranteed(aGuaranteed)
+    , mUnits(aUnits)
+  {
+    for (const auto& [run, open] : aLeader.mRuns) {
+      mOpen.insert(run.mTask);
+    }
+    for (const auto& [incarnation, worker] : aLeader.mWorkers) {
+      for (const auto& [run, running] : worker.mReportedRuns) {
+        mOpen.insert(run.mTask);
+      }
+    }
+  }
+
+  void Collect(const WorkloadId& aId)
+  {
+    const auto* workload = mLeader.mState->Find(aId);
+    if (workload == nullptr || HasEnded(*workload)) {
+      return;
+    }
+    const auto* queue = QueueOf(mLeader, *workload);
+    if (queue == nullptr) {
+      return; // its queue was removed, so that it has no pool
+    }
+    for (const OccurrenceRecord& occurrence : workload->mOccurrences) {
+      for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
+        if (DependenciesDone(*workload, occurrence, s)) {
+          CollectStep(aId, *workload, *queue, occurrence, s);
+        }
+      }
+    }
+  }
+
+private:
+  void CollectStep(const WorkloadId& aId,
+                   const WorkloadRecord& aWorkload,
+                   const protocol::Queue& aQueue,
+                   const OccurrenceRecord& aOccurrence,
+                   std::uint32_t aStep)
+  {
+    const WorkloadStep& spec = aWorkload.mSpec.mSteps[aStep];
+    const auto& tasks = aOccurrence.mSteps[aStep].mTasks;
+    PlacementUnit base;
+    base.mStep = &spec;
+    base.mPool = aQueue.mPool;
+    base.mPriority = aQueue.mPriority;
+    base.mGuaranteed = mGuaranteed.count(aId) > 0;
+    base.mDueAtMs = DueAtMs(aWorkload, aQueue, aOccurrence);
+    std::vector<TaskId> waiting;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+      const TaskId task{ aId, aOccurrence.mNumber, aStep, i };
+      if (tasks[i].mPhase == TaskPhase::Waiting && mOpen.count(task) == 0) {
+        waiting.push_back(task);
+      }
+    }
+    if (waiting.empty() || (spec.mGang && waiting.size() < tasks.size())) {
+      return;
+    }
+    CountStepTasks(aId, aOccurrence.mNumber, aStep, base);
+    if (spec.mGang) {
+      base.mTasks = std::move(waiting);
+      Add(std::move(base));
+      return;
+    }
+    for (const TaskId& task : waiting) {
+      PlacementUnit unit = base;
+      unit.mTasks = { task };
+      Add(std::move(unit));
+    }
+  }
+
+  /** Counts the step's open runs by worker and collects their racks. */
+  void CountStepTasks(const WorkloadId& aId,
+                      std::uint32_t aOccurrence,
+                      std::uint32_t aStep,
+                      PlacementUnit& aUnit) const
+  {
+    aUnit.mStepTasks.assign(mViews.size(), 0);
+    const TaskId first{ aId, aOccurrence, aStep, 0 };
+    for (auto it = mLeader.mRuns.lower_bound(RunId{ first, RunNumber(0) });
+         it != mLeader.mRuns.end() && it->first.mTask.mWorkload == aId &&
+         it->first.mTask.mOccurrence == aOccurrence &&
+         it->first.mTask.mStep == aStep;
+         ++it) {
+      for (std::size_t i = 0; i < mViews.size(); ++i) {
+        if (mViews[i].mTargetIncarnation == it->second.mTarget) {
+          ++aUnit.mStepTasks[i];
+          aUnit.mStepRacks.insert(mViews[i].mRack);
+        }
+      }
+    }
+  }
+
+  void Add(PlacementUnit aUnit)
+  {
+    const auto [it, isNew] =
+      mLeader.mReadySince.try_emplace(aUnit.mTasks.front(), mLeader.mNow);
+    aUnit.mWaitedMs = base::ToMilliseconds(mLeader.mNow - it->second);
+    for (const TaskId& task : aUnit.mTasks) {
+      const auto failed = mLeader.mFailedOn.find(task);
+      if (failed != mLeader.mFailedOn.end()) {
+        aUnit.mAvoid.insert(failed->second.begin(), failed->second.end());
+      }
+    }
+    mUnits.push_back(std::move(aUnit));
+  }
+
+  LeaderContext& mLeader;
+  const std::vector<WorkerView>& mViews;
+  const std::set<WorkloadId>& mGuaranteed;
+  std::vector<PlacementUnit>& mUnits;
+  std::set<TaskId> mOpen;
+};
+
+/** Returns the first sort key of a unit; the smallest is placed first.
+ * Long-running tasks come before other work that is not urgent, so that they
+ * may use the headroom: the platform requires them to run again soon, however
+ * full the pool is. */
+int
+RankOf(const PlacementUnit& aUnit)
+{
+  if (aUnit.mGuaranteed) {
+    return 0;
+  }
+  if (aUnit.mPriority == 0) {
+    return 1;
+  }
+  return aUnit.mStep->mLongRunning ? 2 : 3;
+}
+
+} // namespace
+
+std::vector<PlacementUnit>
+CollectUnits(LeaderContext& aLeader, const std::vector<WorkerView>& aViews)
+{
+  const auto guaranteed = FindGuaranteed(aLeader);
+  std::vector<PlacementUnit> units;
+  UnitCollector collector(aLeader, aViews, guaranteed, units);
+  for (const WorkloadId& id : aLeader.mState->Active()) {
+    collector.Collect(id);
+  }
+  const auto sortKey = [](const PlacementUnit& aUnit) {
+    return std::make_tuple(RankOf(aUnit), aUnit.mPriority, aUnit.mDueAtMs);
+  };
+  std::stable_sort(
+    units.begin(),
+    units.end(),
+    [&sortKey](const PlacementUnit& aLeft, const PlacementUnit& aRight) {
+      return sortKey(aLeft) < sortKey(aRight);
+    });
+  return units;
+}
+
+} // namespace dogwooddrum::coordination::workloads
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -0,0 +1,155 @@
+#include "dogwooddrum/coordination/workloads/WorkerViews.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dogwooddrum::coordination::workloads {
+
+namespace {
+
+/** A worker gets no new work if its newest list is older: several lists are
+ * missing, and a gang with a member there would be delayed. */
+constexpr base::Duration kMaxListAgeForStarts = base::Milliseconds(1500);
+/** Factor between the costs of a lost core-second of one priority and of the
+ * next less urgent one; users value work of priority 1 three times as high as
+ * work of priority 2. */
+constexpr double kPriorityWeight = 3;
+
+/** Returns the core-seconds of work that a stop of the run loses. */
+double
+PreemptionLoss(const LeaderContext& aLeader,
+               const RunId& aId,
+               const OpenRun& aRun)
+{
+  const auto since = std::max(aRun.mStartedAt, aRun.mCheckpointedAt);
+  const auto restore = aLeader.mOptions.mRestoreTime;
+  const auto lost =
+    IsCheckpointing(aLeader, aId) ? restore : aLeader.mNow - since + restore;
+  return static_cast<double>(base::ToMilliseconds(lost)) / 1000 *
+         CoreEquivalents(aRun.mResources);
+}
+
+/** Returns the highest (least urgent) priority number of all queues and open
+ * runs. */
+std::uint32_t
+LeastUrgentPriority(const LeaderContext& aLeader)
+{
+  std::uint32_t least = 0;
+  for (const auto& queue : aLeader.mState->CurrentCatalog().mQueues) {
+    least = std::max(least, queue.mPriority);
+  }
+  for (const auto& [run, open] : aLeader.mRuns) {
+    least = std::max(least, open.mPriority);
+  }
+  return least;
+}
+
+/** Returns whether a run that a target lists is not open there in the
+ * replicated state: it was started by an order that the target executed late.
+ * The run uses resources, and its task must not start elsewhere, until the
+ * target lists its end. */
+bool
+IsUnexpectedRun(const LeaderContext& aLeader,
+                const TargetIncarnation& aTargetIncarnation,
+                const RunId& aRun)
+{
+  const auto it = aLeader.mRuns.find(aRun);
+  return it == aLeader.mRuns.end() || it->second.mTarget != aTargetIncarnation;
+}
+
+/** Returns whether a run will end before the resources of another run could be
+ * freed by stopping that. */
+bool
+EndsSoon(const LeaderContext& aLeader, const RunId& aRun, const OpenRun& aOpen)
+{
+  // Uses listed progress only: an estimate may be wrong by any factor.
+  return aOpen.mProgress.mPercentPerSecond > 0 &&
+         ExpectedTimeLeft(aLeader, aRun, aOpen) <=
+           aLeader.mOptions.mStopTime + kOrderRoundTrip;
+}
+
+bool
+IsSuspect(const LeaderContext& aLeader, const Worker& aWorker)
+{
+  const auto& options = aLeader.mOptions;
+  const auto isRecent = [&](base::Time aTime) {
+    return aTime != base::Time() && aLeader.mNow - aTime < options.mSuspectTime;
+  };
+  return (aWorker.mConsecutiveFailures >= options.mSuspectAfter &&
+          isRecent(aWorker.mLastFailure)) ||
+         isRecent(aWorker.mStalledAt);
+}
+
+} // namespace
+
+std::vector<WorkerView>
+MakeWorkerViews(const LeaderContext& aLeader)
+{
+  const std::uint32_t leastUrgent = LeastUrgentPriority(aLeader);
+  std::vector<WorkerView> views;
+  std::map<TargetIncarnation, std::size_t> index;
+  for (const auto& [incarnation, worker] : aLeader.mWorkers) {
+    WorkerView view;
+    view.mTargetIncarnation = incarnation;
+    view.mPool = worker.mTargetInfo.mPool;
+    view.mRack = worker.mTargetInfo.mRack;
+    view.mLabels.insert(worker.mTargetInfo.mLabels.begin(),
+                        worker.mTargetInfo.mLabels.end());
+    const auto& capacity = worker.mTargetInfo.mCapacity;
+    view.mCapacity = { static_cast<std::int64_t>(capacity.mMilliCores),
+                       static_cast<std::int64_t>(capacity.mMemoryMb),
+                       static_cast<std::int64_t>(capacity.mAccelerators) };
+    view.mFree = view.mCapacity;
+    view.mUsable = worker.mHasLease && !worker.mTargetInfo.mLeaving &&
+                   worker.mSession != Session() &&
+                   aLeader.mNow - worker.mListedAt < kMaxListAgeForStarts;
+    view.mSuspect = IsSuspect(aLeader, worker);
+    index.emplace(incarnation, views.size());
+    views.push_back(std::move(view));
+  }
+  for (const auto& [incarnation, worker] : aLeader.mWorkers) {
+    WorkerView& view = views[index.at(incarnation)];
+    for (const auto& [run, running] : worker.mReportedRuns) {
+      const auto* workload = aLeader.mState->Find(run.mTask.mWorkload);
+      // A target may list a step that its workload does not have.
+      const bool isKnown =
+        workload != nullptr && run.mTask.mStep < workload->mSpec.mSteps.size();
+      if (isKnown && IsUnexpectedRun(aLeader, incarnation, run)) {
+        const ResourceVector resources =
+          ResourcesOf(StepOf(*workload, run.mTask));
+        view.mFree = view.mFree - resources;
+        view.mReleasing = view.mReleasing + resources;
+      }
+    }
+  }
+  for (const auto& [run, open] : aLeader.mRuns) {
+    const auto it = index.find(open.mTarget);
+    if (it == index.end()) {
+      continue;
+    }
+    WorkerView& view = views[it->second];
+    view.mFree = view.mFree - open.mResources;
+    if (open.mStopping || open.mEnding || EndsSoon(aLeader, run, open)) {
+      view.mReleasing = view.mReleasing + open.mResources;
+    } else if (open.mCommitted && open.mPriority > 0) {
+      Victim victim;
+      victim.mRun = run;
+      victim.mGang = GangOf(aLeader, run);
+      victim.mPriority = open.mPriority;
+      victim.mResources = open.mResources;
+      // Stopping a member ends the whole gang.
+      for (const RunId& member : victim.mGang) {
+        const auto other = aLeader.mRuns.find(member);
+        victim.mLoss += other == aLeader.mRuns.end()
+                          ? 0
+                          : PreemptionLoss(aLeader, member, other->second);
+      }
+      victim.mCost =
+        victim.mLoss * std::pow(kPriorityWeight, leastUrgent - open.mPriority);
+      view.mVictims.push_back(std::move(victim));
+    }
+  }
+  return views;
+}
+
+} // namespace dogwooddrum::coordination::workloads
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/WorkerViews.h
@@ -0,0 +1,16 @@
+/** \file
+ * Defines the views of workers that one decision places work on: what is free,
+ * what is being released, and what may be stopped at which cost. Internal to
+ * this package.
+ */
+#pragma once
+
+#include "dogwooddrum/coordination/workloads/LeaderContext.h"
+
+namespace dogwooddrum::coordination::workloads {
+
+/** Returns a view of each worker, ordered by target incarnation. */
+std::vector<WorkerView>
+MakeWorkerViews(const LeaderContext& aLeader);
+
+} // namespace dogwooddrum::coordination::workloads
