Reserve the ports of test daemons among all test processes

FrozenAgentNeverRunsUnrepeatableWorkTwice failed once in a full test run: agent-1 never linked to any control member, so the cluster wasn't ready within 30 s; control itself led after 0.2 s. Tests that run at the same time draw their ports from one range and check them by binding, but the daemons bind them later, so that two tests may get the same port; an agent that can't bind ends. That this happened here isn't proved, as the agent's log wasn't kept.

A port is now locked in the temporary folder until its test process ends, and a cluster that isn't ready prints the log of the process that is missing. Three runs of the test afterwards passed.

--- a/tests/support/ProcessCluster.cpp
+++ b/tests/support/ProcessCluster.cpp
@@ -6,10 +6,12 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <spawn.h>
 #include <sstream>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -184,19 +186,22 @@
 bool
 ProcessCluster::WaitReady()
 {
-  const bool ready = Eventually([this] {
+  std::string unready;
+  const bool ready = Eventually([&] {
     for (const auto& [name, pid] : mPids) {
       if (name.rfind("target", 0) == 0) {
         continue;
       }
       const auto result = Call(name, "GET", "/readyz", "", 1000);
       if (!result || result->mStatus != 200) {
+        unready = name;
         return false;
       }
     }
     return true;
   });
   if (!ready) {
+    std::cerr << unready << " is not ready:\n" << ReadLog(unready);
     return false;
   }
   const auto change = [this](const char* aId, int aVersion, const char* aEdit) {
@@ -376,6 +381,29 @@
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
+namespace {
+
+/** Reserves the port among all test processes until this process ends. A daemon
+ * binds its port some time after it was found to be free, and another test may
+ * find the same port free in the meantime. */
+bool
+ReservePort(std::uint16_t aPort)
+{
+  const std::string file = std::filesystem::temp_directory_path().string() +
+                           "/dogwooddrum-test-port-" + std::to_string(aPort);
+  const int lock = ::open(file.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0666);
+  if (lock < 0) {
+    return false;
+  }
+  if (::flock(lock, LOCK_EX | LOCK_NB) != 0) {
+    ::close(lock);
+    return false;
+  }
+  return true;
+}
+
+} // namespace
+
 std::uint16_t
 FreePort()
 {
@@ -386,7 +414,7 @@
   while (true) {
     sNext = sNext * 1103515245U + 12345U;
     const auto port = static_cast<std::uint16_t>(15000 + (sNext >> 8) % 15000);
-    if (!sTaken.insert(port).second) {
+    if (!sTaken.insert(port).second || !ReservePort(port)) {
       continue;
     }
     const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
