--- a/dogwooddrum/coordination/workloads/Objectives.cpp
+++ b/dogwooddrum/coordination/workloads/Objectives.cpp
@@ -44,12 +44,20 @@
 }
 
 std::uint32_t
-PriorityOf(const LeaderContext& aLeader, const WorkloadRecord& aWorkload)
+PriorityOf(const LeaderContext& aLeader, const protocol::QueueName& aQueue)
 {
-  const auto* queue = QueueOf(aLeader, aWorkload);
+  const auto* queue = FindQueue(aLeader.mState->CurrentCatalog(), aQueue);
   return queue == nullptr ? 0 : queue->mPriority;
 }
 
+std::int64_t
+AllowedTimeMs(const protocol::WorkloadSpec& aSpec,
+              const protocol::Queue& aQueue)
+{
+  return static_cast<std::int64_t>(aQueue.mTargetRunTimeMs) +
+         CriticalPathMs(aSpec) * aQueue.mSlackPermille / 1000;
+}
+
 std::int64_t
 DueAtMs(const WorkloadRecord& aWorkload,
         const protocol::Queue& aQueue,
@@ -60,8 +68,7 @@
     spec.mRepeatCount == 0
       ? aWorkload.mAcceptedMs
       : spec.mFirstMs + spec.mIntervalMs * aOccurrence.mNumber;
-  return begin + static_cast<std::int64_t>(aQueue.mTargetRunTimeMs) +
-         CriticalPathMs(spec) * aQueue.mSlackPermille / 1000;
+  return begin + AllowedTimeMs(spec, aQueue);
 }
 
 std::set<WorkloadId>
@@ -71,7 +78,7 @@
   for (const WorkloadId& id : aLeader.mState->Active()) {
     const auto* workload = aLeader.mState->Find(id);
     if (workload != nullptr && !HasEnded(*workload) &&
-        PriorityOf(aLeader, *workload) == 0) {
+        PriorityOf(aLeader, workload->mQueueName) == 0) {
       urgent.emplace_back(workload->mAcceptedMs, id);
     }
   }
--- a/dogwooddrum/coordination/workloads/Objectives.h
+++ b/dogwooddrum/coordination/workloads/Objectives.h
@@ -13,9 +13,15 @@
 const protocol::Queue*
 QueueOf(const LeaderContext& aLeader, const WorkloadRecord& aWorkload);
 
-/** Returns the priority of the workload's queue; 0 if it was removed. */
+/** Returns the priority of the queue; 0 if it was removed. */
 std::uint32_t
-PriorityOf(const LeaderContext& aLeader, const WorkloadRecord& aWorkload);
+PriorityOf(const LeaderContext& aLeader, const protocol::QueueName& aQueue);
+
+/** Returns the time in ms, from acceptance or from when an occurrence is due,
+ * within which the work should be complete. */
+std::int64_t
+AllowedTimeMs(const protocol::WorkloadSpec& aSpec,
+              const protocol::Queue& aQueue);
 
 /** Returns the Unix time, in ms, by which the occurrence should be complete. */
 std::int64_t
--- a/dogwooddrum/coordination/workloads/Requests.cpp
+++ b/dogwooddrum/coordination/workloads/Requests.cpp
@@ -1,4 +1,4 @@
-#include "dogwooddrum/coordination/workloads/LeaderContext.h"
+#include "dogwooddrum/coordination/workloads/Objectives.h"
 
 #include <algorithm>
 
@@ -207,13 +207,20 @@
   void operator()(const Accept& aChange) const
   {
     const auto& request = aChange.mRequest;
-    AddEvent(mLeader,
-             WorkloadEvent::Kind::Accepted,
-             { { "workload", request.mId.Value() },
-               { "queue", request.mQueue.Value() },
-               { "account", request.mAccount.Value() },
-               { "steps", std::to_string(request.mSpec.mSteps.size()) },
-               { "tasks", std::to_string(request.mSpec.mSteps[0].mCount) } });
+    const auto* queue =
+      FindQueue(mLeader.mState->CurrentCatalog(), request.mQueue);
+    const std::int64_t allowedMs =
+      queue == nullptr ? 0 : AllowedTimeMs(request.mSpec, *queue);
+    AddEvent(
+      mLeader,
+      WorkloadEvent::Kind::Accepted,
+      { { "workload", request.mId.Value() },
+        { "queue", request.mQueue.Value() },
+        { "account", request.mAccount.Value() },
+        { "steps", std::to_string(request.mSpec.mSteps.size()) },
+        { "tasks", std::to_string(request.mSpec.mSteps[0].mCount) },
+        { "priority", std::to_string(PriorityOf(mLeader, request.mQueue)) },
+        { "due_ms", std::to_string(allowedMs) } });
     AnswerAll(mLeader, mLeader.mPendingSubmits, request.mId);
   }
   void operator()(const Cancel& aChange) const
