Elect the first leader soon after a start

Cause: after a power loss of all control members the group waited for the ordinary election timeout (0.5 to 1 s), although no member could have heard a leader, and links were tried again up to 1.5 s after a failed attempt (a connection attempt of 1 s and a pause of up to 0.5 s). Callers give up 3 s after their first try, so that each tenth of a second refuses some for good.

Change: a member that has heard no leader since its start asks for pre-votes every 100 to 270 ms in its first 5 s. Members that hear a leader refuse the pre-vote as before. Entries and control members limit a connection attempt to 500 ms and the pause to 200 ms; agents, of which there are too many, don't.

--- a/dogwooddrum/coordination/consensus/Election.cpp
+++ b/dogwooddrum/coordination/consensus/Election.cpp
@@ -17,6 +17,14 @@
          aState.mNow - aState.mLeaderContact < aState.mOptions.mElectionMin;
 }
 
+void
+SetElectionDeadline(RaftState& aState, base::Duration aMin, base::Duration aMax)
+{
+  const auto range = static_cast<std::uint64_t>((aMax - aMin).count());
+  const std::uint64_t jitter = aState.mRandom() % (range + 1);
+  aState.mElectionDeadline = aState.mNow + aMin + base::Duration(jitter);
+}
+
 bool
 IsUpToDate(const RaftState& aState, const VoteRequest& aRequest)
 {
@@ -58,7 +66,7 @@
   aState.mRole = Role::PreCandidate;
   aState.mLeaderId = base::MemberId();
   aState.mVotes = { aState.mOptions.mSelf };
-  ResetElectionTimer(aState);
+  ResetPreVoteTimer(aState);
   if (IsQuorum(aState, aState.mVotes)) {
     StartElection(aState, false);
     return;
@@ -90,11 +98,21 @@
 void
 ResetElectionTimer(RaftState& aState)
 {
-  const auto range = static_cast<std::uint64_t>(
-    (aState.mOptions.mElectionMax - aState.mOptions.mElectionMin).count());
-  const std::uint64_t jitter = aState.mRandom() % (range + 1);
-  aState.mElectionDeadline =
-    aState.mNow + aState.mOptions.mElectionMin + base::Duration(jitter);
+  SetElectionDeadline(
+    aState, aState.mOptions.mElectionMin, aState.mOptions.mElectionMax);
+}
+
+void
+ResetPreVoteTimer(RaftState& aState)
+{
+  if (!aState.mHasHeardLeader &&
+      aState.mNow - aState.mStartedAt < aState.mOptions.mStartTime) {
+    SetElectionDeadline(aState,
+                        aState.mOptions.mStartElectionMin,
+                        aState.mOptions.mStartElectionMax);
+  } else {
+    ResetElectionTimer(aState);
+  }
 }
 
 void
@@ -122,6 +140,7 @@
     BecomeFollower(aState, aState.mHardState.mTerm, aLeader);
   }
   aState.mLeaderContact = aState.mNow;
+  aState.mHasHeardLeader = true;
   ResetElectionTimer(aState);
 }
 
--- a/dogwooddrum/coordination/consensus/Election.h
+++ b/dogwooddrum/coordination/consensus/Election.h
@@ -14,6 +14,13 @@
 void
 ResetElectionTimer(RaftState& aState);
 
+/**
+ * Sets the deadline of the next pre-vote, which is early while this member has
+ * just started and has heard no leader: the group is then likely to have none.
+ */
+void
+ResetPreVoteTimer(RaftState& aState);
+
 /**
  * Becomes a follower of aLeader (0: unknown) in aTerm. If this member was the
  * leader, its pending reads fail. Precondition: aTerm is not below the current
--- a/dogwooddrum/coordination/consensus/Leadership.cpp
+++ b/dogwooddrum/coordination/consensus/Leadership.cpp
@@ -90,6 +90,7 @@
 {
   aState.mRole = Role::Leader;
   aState.mLeaderId = aState.mOptions.mSelf;
+  aState.mHasHeardLeader = true;
   aState.mLeader = LeaderState{};
   aState.mLeader.mTermStartIndex = After(aState.mLog.LastIndex());
   aState.mLeader.mHeartbeatDue = aState.mNow;
--- a/dogwooddrum/coordination/consensus/Raft.cpp
+++ b/dogwooddrum/coordination/consensus/Raft.cpp
@@ -131,7 +131,7 @@
     mImpl->mDeliveredIndex = aRecovered.mSnapshot->mIndex;
     mImpl->mRestore = aRecovered.mSnapshot;
   }
-  ResetElectionTimer(*mImpl);
+  ResetPreVoteTimer(*mImpl);
 }
 
 Raft::~Raft() = default;
--- a/dogwooddrum/coordination/consensus/RaftState.h
+++ b/dogwooddrum/coordination/consensus/RaftState.h
@@ -80,6 +80,7 @@
     , mOutbox(mLog.LastIndex())
     , mHardState(aRecovered.mHardState)
     , mNow(aNow)
+    , mStartedAt(aNow)
   {
   }
 
@@ -92,6 +93,8 @@
   base::MemberId mLeaderId; ///< 0: unknown
   bool mStorageFailed = false;
   base::Time mNow;
+  base::Time mStartedAt;
+  bool mHasHeardLeader = false; ///< since the start; true if it has led
   base::Time mElectionDeadline;
   base::Time mLeaderContact; ///< meaningful if mLeaderId is set
   std::set<base::MemberId> mVotes;
--- a/dogwooddrum/daemon/Host.cpp
+++ b/dogwooddrum/daemon/Host.cpp
@@ -2,6 +2,15 @@
 
 namespace dogwooddrum::daemon {
 
+namespace {
+
+/** Bounds of a connection attempt and of the pause after it, for entries and
+ * control members. Agents are too many to reconnect as often. */
+constexpr base::Duration kShortConnectTimeout = base::Milliseconds(500);
+constexpr base::Duration kShortReconnectDelay = base::Milliseconds(200);
+
+} // namespace
+
 transport::LinkOptions
 MakeLinkOptions(const HostContext& aContext,
                 transport::PeerRole aRole,
@@ -12,6 +21,10 @@
   options.mSelf.mId = aId;
   options.mSelf.mName = aContext.mSettings.mCommon.mName;
   options.mKey = aContext.mKey;
+  if (aRole != transport::PeerRole::Agent) {
+    options.mConnectTimeout = kShortConnectTimeout;
+    options.mReconnect.mMaxDelay = kShortReconnectDelay;
+  }
   return options;
 }
 
--- a/dogwooddrum/transport/Link.h
+++ b/dogwooddrum/transport/Link.h
@@ -49,6 +49,14 @@
   std::atomic<std::uint64_t> mOversizedFrames{ 0 };
 };
 
+/** Bounds of the reconnection backoff. The upper bound of the delay doubles up
+ * to mMaxDelay; each delay is drawn uniformly from zero to that bound. */
+struct ReconnectOptions
+{
+  base::Duration mInitialDelay = base::Milliseconds(20);
+  base::Duration mMaxDelay = base::Milliseconds(500);
+};
+
 struct LinkOptions
 {
   PeerIdentity mSelf;
@@ -57,6 +65,7 @@
   base::Duration mSilenceTimeout = base::Milliseconds(1500);
   /** Timeout of the connection attempt and, separately, of the handshake. */
   base::Duration mConnectTimeout = base::Milliseconds(1000);
+  ReconnectOptions mReconnect;
   /** Fits four answers of the maximum size. A peer that keeps reading never has
    * this many unsent bytes. */
   std::size_t mMaxQueueBytes = 32U << 20;
--- a/dogwooddrum/transport/LinkClient.cpp
+++ b/dogwooddrum/transport/LinkClient.cpp
@@ -14,15 +14,13 @@
        const Address& aAddress,
        const LinkOptions& aOptions,
        const LinkEvents& aEvents,
-       LinkCounters& aCounters,
-       const ReconnectOptions& aReconnect)
+       LinkCounters& aCounters)
     : mNetwork(aNetwork)
     , mOptions(aOptions)
     , mEvents(aEvents)
     , mCounters(aCounters)
-    , mReconnect(aReconnect)
     , mAddress(aAddress)
-    , mDelay(aReconnect.mInitialDelay)
+    , mDelay(aOptions.mReconnect.mInitialDelay)
     , mRandom(std::random_device{}())
   {
   }
@@ -105,7 +103,7 @@
       {
         const std::lock_guard<std::mutex> lock(self->mMutex);
         self->mIsUp = true;
-        self->mDelay = self->mReconnect.mInitialDelay;
+        self->mDelay = self->mOptions.mReconnect.mInitialDelay;
       }
       self->mEvents.mUp(aLink);
     };
@@ -123,7 +121,7 @@
       if (mRedirected || aWasUp) {
         mRedirected = false;
       } else {
-        mDelay = std::min(mDelay * 2, mReconnect.mMaxDelay);
+        mDelay = std::min(mDelay * 2, mOptions.mReconnect.mMaxDelay);
       }
       std::uniform_int_distribution<base::Duration::rep> draw(0,
                                                               mDelay.count());
@@ -142,7 +140,6 @@
   const LinkOptions mOptions;
   const LinkEvents mEvents;
   LinkCounters& mCounters;
-  const ReconnectOptions mReconnect;
   mutable std::mutex mMutex; ///< guards the members below
   Address mAddress;
   base::Duration mDelay;
@@ -158,14 +155,9 @@
                        const Address& aAddress,
                        const LinkOptions& aOptions,
                        const LinkEvents& aEvents,
-                       LinkCounters& aCounters,
-                       const ReconnectOptions& aReconnect)
-  : mImpl(std::make_shared<Impl>(aNetwork,
-                                 aAddress,
-                                 aOptions,
-                                 aEvents,
-                                 aCounters,
-                                 aReconnect))
+                       LinkCounters& aCounters)
+  : mImpl(
+      std::make_shared<Impl>(aNetwork, aAddress, aOptions, aEvents, aCounters))
 {
 }
 
@@ -201,7 +193,7 @@
   {
     const std::lock_guard<std::mutex> lock(mImpl->mMutex);
     mImpl->mAddress = aAddress;
-    mImpl->mDelay = mImpl->mReconnect.mInitialDelay;
+    mImpl->mDelay = mImpl->mOptions.mReconnect.mInitialDelay;
     mImpl->mRedirected = true;
     link = mImpl->mLink;
   }
--- a/dogwooddrum/transport/LinkClient.h
+++ b/dogwooddrum/transport/LinkClient.h
@@ -11,14 +11,6 @@
 
 namespace dogwooddrum::transport {
 
-/** Bounds of the reconnection backoff. The upper bound of the delay doubles up
- * to mMaxDelay; each delay is drawn uniformly from zero to that bound. */
-struct ReconnectOptions
-{
-  base::Duration mInitialDelay = base::Milliseconds(20);
-  base::Duration mMaxDelay = base::Milliseconds(500);
-};
-
 /** Connects, and reconnects after every close. Thread safe. */
 class LinkClient
 {
@@ -28,8 +20,7 @@
              const Address& aAddress,
              const LinkOptions& aOptions,
              const LinkEvents& aEvents,
-             LinkCounters& aCounters,
-             const ReconnectOptions& aReconnect = {});
+             LinkCounters& aCounters);
   /** Calls Stop. */
   ~LinkClient();
   LinkClient(const LinkClient&) = delete;
--- a/tests/correctness/LeaderElection.cpp
+++ b/tests/correctness/LeaderElection.cpp
@@ -33,6 +33,41 @@
   EXPECT_EQ(cluster.Report(), "");
 }
 
+// After a power loss of all members, callers were refused for an election
+// timeout more than necessary, although no member could have a leader.
+TEST(LeaderElection, GroupThatRestartsElectsALeaderSoon)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Cluster cluster(seed, 3);
+    cluster.Run({ "expect leader within 3s",
+                  "submit 20 commands",
+                  "expect applied all within 3s",
+                  "kill *",
+                  "restart *",
+                  "expect leader within 450ms" });
+    EXPECT_EQ(cluster.Report(), "") << "seed " << seed;
+  }
+}
+
+// The early pre-vote of a member that restarts must not depose a leader that
+// the other members hear.
+TEST(LeaderElection, RestartedFollowerKeepsTheLeader)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Cluster cluster(seed, 3);
+    cluster.Run({ "expect leader within 3s", "remember leader" });
+    const auto& nodes = cluster.Nodes();
+    const bool firstLeads = nodes[0].get() == cluster.Leader();
+    const std::string follower = nodes[firstLeads ? 1 : 0]->Name();
+    cluster.Run({ "kill " + follower,
+                  "restart " + follower,
+                  "submit 50 commands",
+                  "expect applied all within 3s",
+                  "expect remembered leader within 1s" });
+    EXPECT_EQ(cluster.Report(), "") << "seed " << seed;
+  }
+}
+
 TEST(LeaderElection, TransferIsFasterThanAnElectionTimeout)
 {
   Cluster cluster(3, 3);
