Tell from logs where workloads lost time

The command timeline reads the logs of control members and entries and gives the path of one workload, or for all how long work waited and how much run time was lost by cause, by priority or as CSV.

--- a/dogwooddrum/cli/Command.h
+++ b/dogwooddrum/cli/Command.h
@@ -64,11 +64,13 @@
 ExitCode
 RunConfigRemoveProfile(const Arguments& aArguments);
 
-// Other commands (LoadCommand.cpp, ReferenceCommand.cpp).
+// Other commands (LoadCommand.cpp, ReferenceCommand.cpp, TimelineCommand.cpp).
 ExitCode
 RunLoadCommand(const Arguments& aArguments);
 ExitCode
 RunReference(const Arguments& aArguments);
+ExitCode
+RunTimeline(const Arguments& aArguments);
 
 /** Returns all commands in the order in which the help lists them. */
 const std::vector<Command>&
--- a/dogwooddrum/cli/Tool.cpp
+++ b/dogwooddrum/cli/Tool.cpp
@@ -40,6 +40,7 @@
     { "acknowledge", "Allow the service to drop an answer", RunAcknowledge },
     { "list", "List jobs", RunList },
     { "explain", "Tell why a job waits or how it ended", RunExplain },
+    { "timeline", "Tell from logs where workloads lost time", RunTimeline },
     { "status", "Show members and workers", RunStatus },
     { "config show", "Show the configuration", RunConfigShow },
     { "config account", "Add or change a client account", RunConfigAccount },
