--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -111,9 +111,9 @@
  * lose: without limit within a guarantee, else no more than the unit's own
  * estimated work. */
 double
-AllowedLoss(const PlacementUnit& aUnit)
+AllowedLoss(const LeaderContext& aLeader, const PlacementUnit& aUnit)
 {
-  if (aUnit.mGuaranteed) {
+  if (aUnit.mGuaranteed || !aLeader.mOptions.mPolicies.mLossLimit) {
     return std::numeric_limits<double>::infinity();
   }
   return static_cast<double>(aUnit.mTasks.size()) *
@@ -126,6 +126,9 @@
 void
 ReservePoolHeadrooms(LeaderContext& aLeader, std::vector<WorkerView>& aViews)
 {
+  if (!aLeader.mOptions.mPolicies.mUrgentHeadroom) {
+    return;
+  }
   const auto& options = aLeader.mOptions.mHeadroom;
   for (auto& [pool, demand] : aLeader.mUrgentDemand) {
     ReserveHeadroom(
@@ -142,7 +145,7 @@
 {
   const auto plan = PlanPreemption(aUnit,
                                    aUnit.mPriority,
-                                   AllowedLoss(aUnit),
+                                   AllowedLoss(aLeader, aUnit),
                                    aViews,
                                    aLeader.mOptions.mPlacement);
   if (!plan) {
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -174,7 +174,7 @@
                  const std::vector<WorkerView>& aWorkers,
                  const PlacementOptions& aOptions)
 {
-  if (!HasLocalityPreference(aUnit)) {
+  if (!aOptions.mLocalityWait || !HasLocalityPreference(aUnit)) {
     return false;
   }
   const std::int64_t extraMs =
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -88,6 +88,7 @@
 
 struct PlacementOptions
 {
+  bool mLocalityWait = true; ///< whether units wait for a preferred rack
   /** Factor by which a task takes longer away from its data or its gang; 3 in
    * all of the users' deployments. */
   std::int64_t mRemotePenalty = 3;
--- a/dogwooddrum/coordination/workloads/Stalls.cpp
+++ b/dogwooddrum/coordination/workloads/Stalls.cpp
@@ -61,7 +61,8 @@
 void
 StopStalledRuns(LeaderContext& aLeader)
 {
-  if (aLeader.mNow < aLeader.mNextStallCheck) {
+  if (!aLeader.mOptions.mPolicies.mStallStops ||
+      aLeader.mNow < aLeader.mNextStallCheck) {
     return;
   }
   aLeader.mNextStallCheck = aLeader.mNow + kStallCheckInterval;
--- a/dogwooddrum/coordination/workloads/Units.cpp
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -137,15 +137,15 @@
  * may use the headroom: the platform requires them to run again soon, however
  * full the pool is. */
 int
-RankOf(const PlacementUnit& aUnit)
+RankOf(const Policies& aPolicies, const PlacementUnit& aUnit)
 {
-  if (aUnit.mGuaranteed) {
+  if (aUnit.mGuaranteed && aPolicies.mGuaranteedFirst) {
     return 0;
   }
   if (aUnit.mPriority == 0) {
     return 1;
   }
-  return aUnit.mStep->mLongRunning ? 2 : 3;
+  return aUnit.mStep->mLongRunning && aPolicies.mLongRunningFirst ? 2 : 3;
 }
 
 } // namespace
@@ -159,8 +159,10 @@
   for (const WorkloadId& id : aLeader.mState->Active()) {
     collector.Collect(id);
   }
-  const auto sortKey = [](const PlacementUnit& aUnit) {
-    return std::make_tuple(RankOf(aUnit), aUnit.mPriority, aUnit.mDueAtMs);
+  const auto sortKey = [&](const PlacementUnit& aUnit) {
+    return std::make_tuple(RankOf(aLeader.mOptions.mPolicies, aUnit),
+                           aUnit.mPriority,
+                           aUnit.mDueAtMs);
   };
   std::stable_sort(
     units.begin(),
--- a/dogwooddrum/coordination/workloads/WorkerViews.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -63,7 +63,8 @@
 EndsSoon(const LeaderContext& aLeader, const RunId& aRun, const OpenRun& aOpen)
 {
   // Uses listed progress only: an estimate may be wrong by any factor.
-  return aOpen.mProgress.mPercentPerSecond > 0 &&
+  return aLeader.mOptions.mPolicies.mAwaitSoonEnds &&
+         aOpen.mProgress.mPercentPerSecond > 0 &&
          ExpectedTimeLeft(aLeader, aRun, aOpen) <=
            aLeader.mOptions.mStopTime + kOrderRoundTrip;
 }
@@ -72,6 +73,9 @@
 IsSuspect(const LeaderContext& aLeader, const Worker& aWorker)
 {
   const auto& options = aLeader.mOptions;
+  if (!options.mPolicies.mWorkerSuspicion) {
+    return false;
+  }
   const auto isRecent = [&](base::Time aTime) {
     return aTime != base::Time() && aLeader.mNow - aTime < options.mSuspectTime;
   };
@@ -144,8 +148,10 @@
                           ? 0
                           : PreemptionLoss(aLeader, member, other->second);
       }
-      victim.mCost =
-        victim.mLoss * std::pow(kPriorityWeight, leastUrgent - open.mPriority);
+      victim.mCost = victim.mLoss;
+      if (aLeader.mOptions.mPolicies.mPriorityWeight) {
+        victim.mCost *= std::pow(kPriorityWeight, leastUrgent - open.mPriority);
+      }
       view.mVictims.push_back(std::move(victim));
     }
   }
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -278,7 +278,8 @@
       open.mCheckpointedAt = aLeader.mNow;
     }
     UpdateProgress(open.mProgress, running.mPercent, aLeader.mNow);
-    if (const auto whole = ProjectedRunTime(open.mProgress)) {
+    const auto whole = ProjectedRunTime(open.mProgress);
+    if (whole && aLeader.mOptions.mPolicies.mLearnedRunTimes) {
       aLeader.mRunTimeEstimator.AddStepSample(running.mRun.mTask, *whole);
     }
   }
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -181,7 +181,8 @@
     const TaskId& task = aChange.mRun.mTask;
     const auto* workload = mLeader.mState->Find(task.mWorkload);
     // A resumed run did only part of the work.
-    if (aChange.mEnd == RunEnd::Done && workload != nullptr &&
+    if (mLeader.mOptions.mPolicies.mLearnedRunTimes &&
+        aChange.mEnd == RunEnd::Done && workload != nullptr &&
         aOpen.mResumedFrom.empty()) {
       mLeader.mRunTimeEstimator.AddQueueSample(
         workload->mQueueName,
@@ -245,7 +246,9 @@
   leader.mNow = aNow;
   leader.mLeadingSince = aNow;
   leader.mNextPurge = aNow + kPurgeInterval;
-  leader.mTargetByAgent = leader.mState->BoundTargets();
+  if (leader.mOptions.mPolicies.mTargetBindings) {
+    leader.mTargetByAgent = leader.mState->BoundTargets();
+  }
   StoreCatalogForDeltas(leader);
   for (const WorkloadId& id : leader.mState->Active()) {
     const WorkloadRecord* workload = leader.mState->Find(id);
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.h
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.h
@@ -9,6 +9,7 @@
 #include "dogwooddrum/base/Time.h"
 #include "dogwooddrum/coordination/workloads/Headroom.h"
 #include "dogwooddrum/coordination/workloads/Placement.h"
+#include "dogwooddrum/coordination/workloads/Policies.h"
 #include "dogwooddrum/coordination/workloads/State.h"
 
 #include <memory>
@@ -46,6 +47,7 @@
   std::size_t mMaxActive = 20000;
   PlacementOptions mPlacement;
   HeadroomOptions mHeadroom;
+  Policies mPolicies;
 };
 
 /** An event for the log; the host adds its number. */
--- a/dogwooddrum/service/Settings.h
+++ b/dogwooddrum/service/Settings.h
@@ -114,6 +114,18 @@
   base::Duration mTaskLease{};
   base::Duration mStopTime{};
   base::Duration mRestoreTime{};
+  // Mechanisms of the scheduler of workloads; see workloads::Policies.
+  bool mUrgentHeadroom = true;
+  bool mLocalityWait = true;
+  bool mWorkerSuspicion = true;
+  bool mStallStops = true;
+  bool mAwaitSoonEnds = true;
+  bool mLossLimit = true;
+  bool mPriorityWeight = true;
+  bool mLearnedRunTimes = true;
+  bool mLongRunningFirst = true;
+  bool mGuaranteedFirst = true;
+  bool mTargetBindings = true;
 };
 
 /** Section [agent]. */
--- a/dogwooddrum/service/SettingsKeys.cpp
+++ b/dogwooddrum/service/SettingsKeys.cpp
@@ -488,6 +488,55 @@
   };
 }
 
+/** Switches of the scheduler of workloads. */
+std::vector<SettingsKey>
+PolicyKeys()
+{
+  const auto policy = [](std::string_view aKey,
+                         const AnyFieldAccessor& aAccessor,
+                         std::string_view aDescription) {
+    return SettingsKey{ "control", aKey,   aAccessor, "",          0,
+                        0,         "true", false,     aDescription };
+  };
+  return {
+    policy("urgent_headroom",
+           kControlField<&ControlSettings::mUrgentHeadroom>,
+           "Whether resources are kept free for urgent workloads."),
+    policy("locality_wait",
+           kControlField<&ControlSettings::mLocalityWait>,
+           "Whether tasks wait for the rack of their data or gang."),
+    policy("worker_suspicion",
+           kControlField<&ControlSettings::mWorkerSuspicion>,
+           "Whether workers whose runs fail or stall are used last."),
+    policy("stall_stops",
+           kControlField<&ControlSettings::mStallStops>,
+           "Whether runs without progress are stopped and started elsewhere."),
+    policy("await_soon_ends",
+           kControlField<&ControlSettings::mAwaitSoonEnds>,
+           "Whether nothing is stopped for resources that come free soon."),
+    policy("loss_limit",
+           kControlField<&ControlSettings::mLossLimit>,
+           "Whether a preemption may lose no more work than it starts."),
+    policy("priority_weight",
+           kControlField<&ControlSettings::mPriorityWeight>,
+           "Whether lost work of a more urgent priority costs more."),
+    policy("learned_run_times",
+           kControlField<&ControlSettings::mLearnedRunTimes>,
+           "Whether estimates of run times are corrected by observed ones."),
+    policy(
+      "long_running_first",
+      kControlField<&ControlSettings::mLongRunningFirst>,
+      "Whether long-running tasks come before other work that is not urgent."),
+    policy("guaranteed_first",
+           kControlField<&ControlSettings::mGuaranteedFirst>,
+           "Whether work within a guarantee comes before other urgent work."),
+    policy("target_bindings",
+           kControlField<&ControlSettings::mTargetBindings>,
+           "Whether a new leader ends the runs of targets that their VMs have "
+           "replaced."),
+  };
+}
+
 std::vector<SettingsKey>
 AgentKeys()
 {
@@ -585,8 +634,11 @@
 {
   static const std::vector<SettingsKey> keys = [] {
     std::vector<SettingsKey> all;
-    for (const auto& part :
-         { CommonKeys(), EntryKeys(), ControlKeys(), AgentKeys() }) {
+    for (const auto& part : { CommonKeys(),
+                              EntryKeys(),
+                              ControlKeys(),
+                              PolicyKeys(),
+                              AgentKeys() }) {
       all.insert(all.end(), part.begin(), part.end());
     }
     return all;
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -110,9 +110,7 @@
     mWorkers[i]->mIncarnation = i * 1000;
     StartAgent(i);
   }
-  mScheduler =
-    std::make_unique<WorkloadScheduler>(WorkloadSchedulerOptions(), mState);
-  mScheduler->BecomeLeader(base::Term(mTerm), mNow);
+  Lead();
 }
 
 WorkloadSimulation::~WorkloadSimulation() = default;
@@ -259,9 +257,18 @@
 void
 WorkloadSimulation::ChangeLeader()
 {
-  mScheduler =
-    std::make_unique<WorkloadScheduler>(WorkloadSchedulerOptions(), mState);
-  mScheduler->BecomeLeader(base::Term(++mTerm), mNow);
+  ++mTerm;
+  Lead();
+}
+
+/** Starts the leadership of mTerm with a scheduler that knows only mState. */
+void
+WorkloadSimulation::Lead()
+{
+  WorkloadSchedulerOptions options;
+  options.mPolicies = mOptions.mPolicies;
+  mScheduler = std::make_unique<WorkloadScheduler>(options, mState);
+  mScheduler->BecomeLeader(base::Term(mTerm), mNow);
 }
 
 void
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -42,6 +42,7 @@
   std::size_t mWorkersPerRack = 2;
   std::uint64_t mGuaranteed = 16; ///< of the account "tenant"
   WorkloadFaults mFaults;
+  coordination::workloads::Policies mPolicies;
 };
 
 /** Simulates one leader with its workers. Thread safety: none. */
@@ -95,6 +96,7 @@
   struct Later;
 
   void Advance();
+  void Lead();
   bool HappensWith(double aShare);
   void Commit();
   void Deliver(coordination::workloads::WorkloadSchedulerMessage aMessage);
