Bind a target whenever it gets a lease

Cause: a binding was proposed only when a leader first saw the target, so that one which was removed while the agent was silent for the retention time did not come back with the agent under the same leader; the next leader would have waited for leases again.

Change: the binding is proposed when the target gets a lease, which every start needs. BindingOfASilentAgentIsRemovedAndMadeAgain checks both.

--- a/dogwooddrum/coordination/workloads/Policies.h
+++ b/dogwooddrum/coordination/workloads/Policies.h
@@ -7,27 +7,31 @@
 
 namespace dogwooddrum::coordination::workloads {
 
-/** Whether the scheduler uses a mechanism. */
+/** Whether the scheduler uses each mechanism. */
 struct Policies
 {
-  bool mUrgentHeadroom = true; ///< keeps resources free for urgent work
-  bool mLocalityWait =
-    true; ///< waits for a rack with the data or the whole gang
-  bool mWorkerSuspicion =
-    true;                  ///< uses workers last whose runs failed or stalled
-  bool mStallStops = true; ///< stops runs that make no progress
-  bool mAwaitSoonEnds =
-    true; ///< counts resources of runs that end soon as released
-  bool mLossLimit = true; ///< limits what a stop without a guarantee may lose
-  bool mPriorityWeight = true;  ///< weighs lost work by its priority
-  bool mLearnedRunTimes = true; ///< corrects estimates by observed run times
-  bool mLongRunningFirst =
-    true; ///< places long-running tasks before other work
-  bool mGuaranteedFirst =
-    true; ///< places guaranteed work before other urgent work
-  bool mTargetBindings =
-    true; ///< ends the runs of targets that an earlier leader has bound and
-          ///< whose VM has another one
+  /** Keeps resources free for urgent work. */
+  bool mUrgentHeadroom = true;
+  /** Waits for a rack with the data or with room for the whole gang. */
+  bool mLocalityWait = true;
+  /** Uses workers last whose runs failed or stalled. */
+  bool mWorkerSuspicion = true;
+  /** Stops runs that make no progress. */
+  bool mStallStops = true;
+  /** Stops nothing for resources that come free soon. */
+  bool mAwaitSoonEnds = true;
+  /** Limits what a preemption without a guarantee may lose. */
+  bool mLossLimit = true;
+  /** Weighs lost work by its priority. */
+  bool mPriorityWeight = true;
+  /** Corrects estimates by observed run times. */
+  bool mLearnedRunTimes = true;
+  /** Places long-running tasks before other work that is not urgent. */
+  bool mLongRunningFirst = true;
+  /** Places guaranteed work before other urgent work. */
+  bool mGuaranteedFirst = true;
+  /** Lets a new leader end the runs of targets that their VMs have replaced. */
+  bool mTargetBindings = true;
 };
 
 } // namespace dogwooddrum::coordination::workloads
--- a/dogwooddrum/coordination/workloads/State.h
+++ b/dogwooddrum/coordination/workloads/State.h
@@ -121,8 +121,9 @@
   }
 };
 
-/** Records the target that an agent speaks for. A leader proposes it before the
- * first start on the target. An empty instance removes the agent. */
+/** Records the target that an agent speaks for. A leader proposes it when
+ * it grants the target a lease, and thus before the first start there. An empty
+ * instance removes the agent. */
 struct BindTarget
 {
   std::string mAgentName;
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -156,7 +156,6 @@
                              ? protocol::FencingTokenOf(incarnation)
                              : NextFencingToken(aLeader);
     StopRunsOfEarlierIncarnations(aLeader, incarnation);
-    ProposeBinding(aLeader, aReport.mAgentName, incarnation);
   }
   if (worker.mAgentIncarnation == aReport.mAgent &&
       aReport.mSequence <= worker.mReportSequence) {
@@ -399,6 +398,7 @@
   UpdateRunningTasks(aLeader, *worker, aReport);
   if (!worker->mHasLease) {
     worker->mHasLease = true;
+    ProposeBinding(aLeader, aReport.mAgentName, incarnation);
     AddEvent(aLeader,
              WorkloadEvent::Kind::WorkerJoined,
              { { "target", incarnation.mInstance },
--- a/tests/error/LostTargets.cpp
+++ b/tests/error/LostTargets.cpp
@@ -42,21 +42,44 @@
   return state;
 }
 
-/** Returns how many runs a new leader of aState ends when the agent reports the
- * target. */
-std::size_t
-EndsAfterReport(const State& aState, const TargetIncarnation& aTarget)
+protocol::WorkerReport
+ReportOf(const TargetIncarnation& aTarget, std::uint64_t aSequence)
 {
-  WorkloadScheduler scheduler({}, aState);
-  scheduler.BecomeLeader(base::Term(2), At(0));
   protocol::WorkerReport report;
   report.mAgent = base::Incarnation(7);
   report.mAgentName = kAgent;
-  report.mSequence = 1;
+  report.mSequence = aSequence;
   report.mTarget = protocol::TargetInfo();
   report.mTarget->mTargetIncarnation = aTarget;
   report.mHasRunLists = true;
-  scheduler.OnReport(Session(1), report, At(100));
+  return report;
+}
+
+/** Applies the scheduler's changes at aMs; returns the targets that it bound,
+ * with an empty instance for a binding that it removed. */
+std::vector<std::string>
+ApplyBindings(WorkloadScheduler& aScheduler, State& aState, std::int64_t aMs)
+{
+  std::vector<std::string> bound;
+  aScheduler.Tick(At(aMs));
+  for (const Change& change : aScheduler.TakeOutput(At(aMs)).mChanges) {
+    if (const auto* binding = std::get_if<BindTarget>(&change.mBody)) {
+      bound.push_back(binding->mTarget.mInstance);
+    }
+    aState.Apply(change);
+    aScheduler.OnApplied(change, At(aMs));
+  }
+  return bound;
+}
+
+/** Returns how many runs a new leader of aState ends when the agent reports the
+ * target. */
+std::size_t
+EndsAfterReport(const State& aState, const TargetIncarnation& aTarget)
+{
+  WorkloadScheduler scheduler({}, aState);
+  scheduler.BecomeLeader(base::Term(2), At(0));
+  scheduler.OnReport(Session(1), ReportOf(aTarget, 1), At(100));
   std::size_t ends = 0;
   for (const Change& change : scheduler.TakeOutput(At(100)).mChanges) {
     ends += std::holds_alternative<EndRun>(change.mBody) ? 1 : 0;
@@ -99,6 +122,22 @@
   EXPECT_EQ(EndsAfterReport(StateWithRun(), kSetBack), 0U);
 }
 
+// Bindings of agents that never come back would fill the replicated state.
+TEST(LostTargets, BindingOfASilentAgentIsRemovedAndMadeAgain)
+{
+  using Bound = std::vector<std::string>;
+  State state;
+  WorkloadScheduler scheduler({}, state);
+  scheduler.BecomeLeader(base::Term(1), At(0));
+  scheduler.OnReport(Session(1), ReportOf(kLost, 1), At(100));
+  EXPECT_EQ(ApplyBindings(scheduler, state, 100), Bound{ kLost.mInstance });
+  EXPECT_EQ(ApplyBindings(scheduler, state, 170000), Bound{});
+  EXPECT_EQ(ApplyBindings(scheduler, state, 200000), Bound{ "" });
+  EXPECT_TRUE(state.BoundTargets().empty());
+  scheduler.OnReport(Session(1), ReportOf(kLost, 2), At(210000));
+  EXPECT_EQ(ApplyBindings(scheduler, state, 210000), Bound{ kLost.mInstance });
+}
+
 TEST(LostTargets, BindingsOutliveASnapshot)
 {
   coordination::jobs::JobState state;
