Show that the early pre-vote is refused beside a leader

Cause: with a planted fault that grants pre-votes beside a leader, RestartedFollowerKeepsTheLeader passed: the restarted member heard the leader's heartbeat before its own timer ran out, so that the test proved nothing.

Change: the member can't hear the leader for 6 s after its restart, and the leader has to keep its term also after that. With the fault planted the test fails now. GroupThatRestartsElectsALeaderSoon fails without the early pre-vote.

--- a/tests/correctness/LeaderElection.cpp
+++ b/tests/correctness/LeaderElection.cpp
@@ -49,8 +49,8 @@
   }
 }
 
-// The early pre-vote of a member that restarts must not depose a leader that
-// the other members hear.
+// The early pre-votes of a member that restarts and can't hear the leader must
+// not depose a leader that the other members hear.
 TEST(LeaderElection, RestartedFollowerKeepsTheLeader)
 {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
@@ -59,8 +59,12 @@
     const auto& nodes = cluster.Nodes();
     const bool firstLeads = nodes[0].get() == cluster.Leader();
     const std::string follower = nodes[firstLeads ? 1 : 0]->Name();
+    const std::string leader = cluster.Leader()->Name();
     cluster.Run({ "kill " + follower,
+                  "cut " + leader + " to " + follower,
                   "restart " + follower,
+                  "at 6s heal",
+                  "expect remembered leader within 1s",
                   "submit 50 commands",
                   "expect applied all within 3s",
                   "expect remembered leader within 1s" });
