--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -76,6 +76,7 @@
     : mOptions(aOptions)
     , mState(&aState)
   {
+    mOptions.mPlacement.mLocalityWait = mOptions.mPolicies.mLocalityWait;
   }
 
   WorkloadSchedulerOptions mOptions;
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -67,19 +67,7 @@
   workloads.mTaskLease = aSettings.mTaskLease;
   workloads.mStopTime = aSettings.mStopTime;
   workloads.mRestoreTime = aSettings.mRestoreTime;
-  auto& policies = workloads.mPolicies;
-  policies.mUrgentHeadroom = aSettings.mUrgentHeadroom;
-  policies.mLocalityWait = aSettings.mLocalityWait;
-  policies.mWorkerSuspicion = aSettings.mWorkerSuspicion;
-  policies.mStallStops = aSettings.mStallStops;
-  policies.mAwaitSoonEnds = aSettings.mAwaitSoonEnds;
-  policies.mLossLimit = aSettings.mLossLimit;
-  policies.mPriorityWeight = aSettings.mPriorityWeight;
-  policies.mLearnedRunTimes = aSettings.mLearnedRunTimes;
-  policies.mLongRunningFirst = aSettings.mLongRunningFirst;
-  policies.mGuaranteedFirst = aSettings.mGuaranteedFirst;
-  policies.mTargetBindings = aSettings.mTargetBindings;
-  workloads.mPlacement.mLocalityWait = policies.mLocalityWait;
+  workloads.mPolicies = aSettings.mPolicies;
   if (!aSettings.mSeeds.empty()) {
     options.mRepair.emplace();
     options.mRepair->mIntendedVoters = 2 * aSettings.mToleratedLosses + 1;
--- a/dogwooddrum/service/Settings.h
+++ b/dogwooddrum/service/Settings.h
@@ -7,6 +7,7 @@
 #include "dogwooddrum/base/Ids.h"
 #include "dogwooddrum/base/Outcome.h"
 #include "dogwooddrum/base/Time.h"
+#include "dogwooddrum/coordination/workloads/Policies.h"
 
 #include <cstdint>
 #include <optional>
@@ -114,18 +115,7 @@
   base::Duration mTaskLease{};
   base::Duration mStopTime{};
   base::Duration mRestoreTime{};
-  // Mechanisms of the scheduler of workloads; see workloads::Policies.
-  bool mUrgentHeadroom = true;
-  bool mLocalityWait = true;
-  bool mWorkerSuspicion = true;
-  bool mStallStops = true;
-  bool mAwaitSoonEnds = true;
-  bool mLossLimit = true;
-  bool mPriorityWeight = true;
-  bool mLearnedRunTimes = true;
-  bool mLongRunningFirst = true;
-  bool mGuaranteedFirst = true;
-  bool mTargetBindings = true;
+  coordination::workloads::Policies mPolicies;
 };
 
 /** Section [agent]. */
--- a/dogwooddrum/service/SettingsKeys.cpp
+++ b/dogwooddrum/service/SettingsKeys.cpp
@@ -16,6 +16,13 @@
   return (aSettings.*Section).*Member;
 }
 
+template<auto Section, auto Part, auto Member>
+auto&
+NestedFieldOf(Settings& aSettings)
+{
+  return ((aSettings.*Section).*Part).*Member;
+}
+
 template<auto Member>
 constexpr auto kCommonField = &FieldOf<&Settings::mCommon, Member>;
 template<auto Member>
@@ -23,6 +30,9 @@
 template<auto Member>
 constexpr auto kControlField = &FieldOf<&Settings::mControl, Member>;
 template<auto Member>
+constexpr auto kPolicyField =
+  &NestedFieldOf<&Settings::mControl, &ControlSettings::mPolicies, Member>;
+template<auto Member>
 constexpr auto kAgentField = &FieldOf<&Settings::mAgent, Member>;
 
 std::vector<SettingsKey>
@@ -492,6 +502,7 @@
 std::vector<SettingsKey>
 PolicyKeys()
 {
+  using coordination::workloads::Policies;
   const auto policy = [](std::string_view aKey,
                          const AnyFieldAccessor& aAccessor,
                          std::string_view aDescription) {
@@ -500,38 +511,38 @@
   };
   return {
     policy("urgent_headroom",
-           kControlField<&ControlSettings::mUrgentHeadroom>,
+           kPolicyField<&Policies::mUrgentHeadroom>,
            "Whether resources are kept free for urgent workloads."),
     policy("locality_wait",
-           kControlField<&ControlSettings::mLocalityWait>,
+           kPolicyField<&Policies::mLocalityWait>,
            "Whether tasks wait for the rack of their data or gang."),
     policy("worker_suspicion",
-           kControlField<&ControlSettings::mWorkerSuspicion>,
+           kPolicyField<&Policies::mWorkerSuspicion>,
            "Whether workers whose runs fail or stall are used last."),
     policy("stall_stops",
-           kControlField<&ControlSettings::mStallStops>,
+           kPolicyField<&Policies::mStallStops>,
            "Whether runs without progress are stopped and started elsewhere."),
     policy("await_soon_ends",
-           kControlField<&ControlSettings::mAwaitSoonEnds>,
+           kPolicyField<&Policies::mAwaitSoonEnds>,
            "Whether nothing is stopped for resources that come free soon."),
     policy("loss_limit",
-           kControlField<&ControlSettings::mLossLimit>,
+           kPolicyField<&Policies::mLossLimit>,
            "Whether a preemption may lose no more work than it starts."),
     policy("priority_weight",
-           kControlField<&ControlSettings::mPriorityWeight>,
+           kPolicyField<&Policies::mPriorityWeight>,
            "Whether lost work of a more urgent priority costs more."),
     policy("learned_run_times",
-           kControlField<&ControlSettings::mLearnedRunTimes>,
+           kPolicyField<&Policies::mLearnedRunTimes>,
            "Whether estimates of run times are corrected by observed ones."),
     policy(
       "long_running_first",
-      kControlField<&ControlSettings::mLongRunningFirst>,
+      kPolicyField<&Policies::mLongRunningFirst>,
       "Whether long-running tasks come before other work that is not urgent."),
     policy("guaranteed_first",
-           kControlField<&ControlSettings::mGuaranteedFirst>,
+           kPolicyField<&Policies::mGuaranteedFirst>,
            "Whether work within a guarantee comes before other urgent work."),
     policy("target_bindings",
-           kControlField<&ControlSettings::mTargetBindings>,
+           kPolicyField<&Policies::mTargetBindings>,
            "Whether a new leader ends the runs of targets that their VMs have "
            "replaced."),
   };
