--- a/dogwooddrum/cli/Timeline.cpp
+++ b/dogwooddrum/cli/Timeline.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using Json = nlohmann::ordered_json;
+
 /** Multiple of the allowed time after which a result counts as very late. */
 constexpr std::int64_t kVeryLateFactor = 3;
 
@@ -121,7 +123,7 @@
     auto& timeline = Timeline(aLine.Text("workload"), aLine.mUnixMs);
     timeline.mQueue = aLine.Text("queue");
     timeline.mPriority = aLine.Number("priority").value_or(0);
-    timeline.mAllowedMs = aLine.Number("due_ms").value_or(0);
+    timeline.mAllowedMs = aLine.Number("allowed_ms").value_or(0);
     timeline.mAcceptedMs = aLine.mUnixMs;
     timeline.mWaitedMs[static_cast<std::size_t>(LossCause::Refused)] =
       aLine.mUnixMs - timeline.mFirstTryMs;
@@ -229,6 +231,37 @@
   }
 }
 
+Json
+LevelRow(std::int64_t aPriority, const PriorityTotals& aTotals)
+{
+  Json row;
+  row["priority"] = aPriority;
+  for (std::size_t i = 0; i < kServiceLevelCount; ++i) {
+    row[ToString(static_cast<ServiceLevel>(i))] = aTotals.mLevels.at(i);
+  }
+  return row;
+}
+
+/** Returns a row for each cause by which something was lost. */
+std::vector<Json>
+CauseRows(std::int64_t aPriority, const PriorityTotals& aTotals)
+{
+  std::vector<Json> rows;
+  for (std::size_t i = 0; i < kLossCauseCount; ++i) {
+    if (aTotals.mWaitedMs.at(i) == 0 && aTotals.mLostRunMs.at(i) == 0) {
+      continue;
+    }
+    Json row;
+    row["priority"] = aPriority;
+    row["cause"] = ToString(static_cast<LossCause>(i));
+    row["waited_s"] = ToSeconds(aTotals.mWaitedMs.at(i));
+    row["lost_run_s"] = ToSeconds(aTotals.mLostRunMs.at(i));
+    row["missed"] = aTotals.mMissed.at(i);
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
 } // namespace
 
 const char*
@@ -300,29 +333,15 @@
   for (const WorkloadTimeline& timeline : aTimelines) {
     AddTo(totals[timeline.mPriority], timeline);
   }
-  nlohmann::ordered_json out;
+  Json out;
   out["summary"] = { { "workloads", aTimelines.size() },
                      { "lines", aLines.mLines.size() },
                      { "unreadable_lines", aLines.mUnreadable } };
-  out["levels"] = nlohmann::ordered_json::array();
-  out["causes"] = nlohmann::ordered_json::array();
+  out["levels"] = Json::array();
+  out["causes"] = Json::array();
   for (const auto& [priority, sums] : totals) {
-    nlohmann::ordered_json levels;
-    levels["priority"] = priority;
-    for (std::size_t i = 0; i < kServiceLevelCount; ++i) {
-      levels[ToString(static_cast<ServiceLevel>(i))] = sums.mLevels[i];
-    }
-    out["levels"].push_back(levels);
-    for (std::size_t i = 0; i < kLossCauseCount; ++i) {
-      if (sums.mWaitedMs[i] == 0 && sums.mLostRunMs[i] == 0) {
-        continue;
-      }
-      nlohmann::ordered_json row;
-      row["priority"] = priority;
-      row["cause"] = ToString(static_cast<LossCause>(i));
-      row["waited_s"] = ToSeconds(sums.mWaitedMs[i]);
-      row["lost_run_s"] = ToSeconds(sums.mLostRunMs[i]);
-      row["missed"] = sums.mMissed[i];
+    out["levels"].push_back(LevelRow(priority, sums));
+    for (const Json& row : CauseRows(priority, sums)) {
       out["causes"].push_back(row);
     }
   }
--- a/dogwooddrum/coordination/consensus/Election.cpp
+++ b/dogwooddrum/coordination/consensus/Election.cpp
@@ -106,7 +106,7 @@
 ResetPreVoteTimer(RaftState& aState)
 {
   if (!aState.mHasHeardLeader &&
-      aState.mNow - aState.mStartedAt < aState.mOptions.mStartTime) {
+      aState.mNow - aState.mStartedAt < aState.mOptions.mStartPeriod) {
     SetElectionDeadline(aState,
                         aState.mOptions.mStartElectionMin,
                         aState.mOptions.mStartElectionMax);
--- a/dogwooddrum/coordination/consensus/Raft.h
+++ b/dogwooddrum/coordination/consensus/Raft.h
@@ -223,12 +223,12 @@
   base::Duration mHeartbeat = base::Milliseconds(100);
   base::Duration mElectionMin = base::Milliseconds(500);
   base::Duration mElectionMax = base::Milliseconds(1000);
-  /** Bounds of the election timeout for mStartTime after a start, until this
-   * member hears a leader. A leader that other members still hear is safe: they
-   * refuse the pre-vote. */
+  /** Bounds of the pre-vote timeout during mStartPeriod after a start, until
+   * this member hears a leader. A leader that other members still hear is safe:
+   * they refuse the pre-vote. */
   base::Duration mStartElectionMin = base::Milliseconds(100);
   base::Duration mStartElectionMax = base::Milliseconds(270);
-  base::Duration mStartTime = base::Milliseconds(5000);
+  base::Duration mStartPeriod = base::Milliseconds(5000);
   std::uint32_t mMaxBatchBytes = 256U << 10; ///< entries per AppendRequest
   std::uint32_t mMaxInflight = 8;            ///< AppendRequests per follower
   std::uint32_t mSnapshotChunkBytes = 256U << 10;
--- a/dogwooddrum/coordination/workloads/Requests.cpp
+++ b/dogwooddrum/coordination/workloads/Requests.cpp
@@ -220,7 +220,7 @@
         { "steps", std::to_string(request.mSpec.mSteps.size()) },
         { "tasks", std::to_string(request.mSpec.mSteps[0].mCount) },
         { "priority", std::to_string(PriorityOf(mLeader, request.mQueue)) },
-        { "due_ms", std::to_string(allowedMs) } });
+        { "allowed_ms", std::to_string(allowedMs) } });
     AnswerAll(mLeader, mLeader.mPendingSubmits, request.mId);
   }
   void operator()(const Cancel& aChange) const
--- a/tests/correctness/LogTimeline.cpp
+++ b/tests/correctness/LogTimeline.cpp
@@ -31,7 +31,7 @@
 {
   return Line(aMs,
               "workload_accepted",
-              "workload=" + aId + " queue=q priority=1 due_ms=1000");
+              "workload=" + aId + " queue=q priority=1 allowed_ms=1000");
 }
 
 std::string
