--- a/tests/correctness/LeaderElection.cpp
+++ b/tests/correctness/LeaderElection.cpp
@@ -59,9 +59,10 @@
     const auto& nodes = cluster.Nodes();
     const bool firstLeads = nodes[0].get() == cluster.Leader();
     const std::string follower = nodes[firstLeads ? 1 : 0]->Name();
-    const std::string leader = cluster.Leader()->Name();
+    std::string cutLeader = "cut " + cluster.Leader()->Name();
+    cutLeader += " to " + follower;
     cluster.Run({ "kill " + follower,
-                  "cut " + leader + " to " + follower,
+                  cutLeader,
                   "restart " + follower,
                   "at 6s heal",
                   "expect remembered leader within 1s",
