Begin connection attempts short, so that a host that returns is found soon

Cause: a host without power leaves a connection attempt unanswered.

Change: the first attempt after a start, or after a link ended, takes at most 100 ms, and each further one half as much more, up to the limits as before (1 s for agents, 500 ms for entries and members). A host is found about as long after its return as it was away, and agents in a long outage try no more often than before. The handshake keeps its timeout.

--- a/dogwooddrum/daemon/Host.cpp
+++ b/dogwooddrum/daemon/Host.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-/** Bounds of a connection attempt and of the pause after it, for entries and
- * control members. Agents are too many to reconnect as often. */
+/** Bounds of a connection attempt, of the handshake and of the pause after it,
+ * for entries and control members. Agents are too many to reconnect as often in
+ * a long outage. */
 constexpr base::Duration kShortConnectTimeout = base::Milliseconds(500);
 constexpr base::Duration kShortReconnectDelay = base::Milliseconds(200);
 
@@ -22,7 +23,8 @@
   options.mSelf.mName = aContext.mSettings.mCommon.mName;
   options.mKey = aContext.mKey;
   if (aRole != transport::PeerRole::Agent) {
-    options.mConnectTimeout = kShortConnectTimeout;
+    options.mHandshakeTimeout = kShortConnectTimeout;
+    options.mReconnect.mMaxTimeout = kShortConnectTimeout;
     options.mReconnect.mMaxDelay = kShortReconnectDelay;
   }
   return options;
--- a/dogwooddrum/transport/Link.h
+++ b/dogwooddrum/transport/Link.h
@@ -7,6 +7,7 @@
 #include "dogwooddrum/base/Time.h"
 #include "dogwooddrum/protocol/Frame.h"
 #include "dogwooddrum/transport/Handshake.h"
+#include "dogwooddrum/transport/ReconnectBackoff.h"
 
 #include <array>
 #include <atomic>
@@ -23,7 +24,7 @@
 {
   Requested,       ///< this process closed it
   PeerClosed,      ///< the other end closed it
-  ConnectFailed,   ///< no connection within mConnectTimeout
+  ConnectFailed,   ///< the connection attempt failed or timed out
   HandshakeFailed, ///< wrong key, wrong message order or timeout
   Malformed,       ///< received an invalid frame
   Silent,          ///< nothing received within LinkOptions::mSilenceTimeout
@@ -49,22 +50,13 @@
   std::atomic<std::uint64_t> mOversizedFrames{ 0 };
 };
 
-/** Bounds of the reconnection backoff. The upper bound of the delay doubles up
- * to mMaxDelay; each delay is drawn uniformly from zero to that bound. */
-struct ReconnectOptions
-{
-  base::Duration mInitialDelay = base::Milliseconds(20);
-  base::Duration mMaxDelay = base::Milliseconds(500);
-};
-
 struct LinkOptions
 {
   PeerIdentity mSelf;
   std::string mKey;
   base::Duration mHeartbeatInterval = base::Milliseconds(500);
   base::Duration mSilenceTimeout = base::Milliseconds(1500);
-  /** Timeout of the connection attempt and, separately, of the handshake. */
-  base::Duration mConnectTimeout = base::Milliseconds(1000);
+  base::Duration mHandshakeTimeout = base::Milliseconds(1000);
   ReconnectOptions mReconnect;
   /** Fits four answers of the maximum size. A peer that keeps reading never has
    * this many unsent bytes. */
--- a/dogwooddrum/transport/LinkClient.cpp
+++ b/dogwooddrum/transport/LinkClient.cpp
@@ -20,7 +20,7 @@
     , mEvents(aEvents)
     , mCounters(aCounters)
     , mAddress(aAddress)
-    , mDelay(aOptions.mReconnect.mInitialDelay)
+    , mBackoff(BeginBackoff(aOptions.mReconnect))
     , mRandom(std::random_device{}())
   {
   }
@@ -42,6 +42,7 @@
   void Connect()
   {
     Address address;
+    base::Duration timeout{};
     {
       const std::lock_guard<std::mutex> lock(mMutex);
       if (mStopped || mBusy) {
@@ -49,9 +50,10 @@
       }
       mBusy = true;
       address = mAddress;
+      timeout = mBackoff.mTimeout;
     }
     auto attempt = std::make_shared<Attempt>(mNetwork.Internals().mContext);
-    attempt->mTimer.expires_after(mOptions.mConnectTimeout);
+    attempt->mTimer.expires_after(timeout);
     attempt->mTimer.async_wait(
       [attempt](const boost::system::error_code& aError) {
         if (!aError) {
@@ -103,7 +105,7 @@
       {
         const std::lock_guard<std::mutex> lock(self->mMutex);
         self->mIsUp = true;
-        self->mDelay = self->mOptions.mReconnect.mInitialDelay;
+        self->mBackoff = BeginBackoff(self->mOptions.mReconnect);
       }
       self->mEvents.mUp(aLink);
     };
@@ -121,10 +123,10 @@
       if (mRedirected || aWasUp) {
         mRedirected = false;
       } else {
-        mDelay = std::min(mDelay * 2, mOptions.mReconnect.mMaxDelay);
+        mBackoff = GrowBackoff(mBackoff, mOptions.mReconnect);
       }
-      std::uniform_int_distribution<base::Duration::rep> draw(0,
-                                                              mDelay.count());
+      std::uniform_int_distribution<base::Duration::rep> draw(
+        0, mBackoff.mDelayBound.count());
       pause = base::Duration(draw(mRandom));
     }
     mNetwork.PostAfter(pause, [self = shared_from_this()] { self->Connect(); });
@@ -142,7 +144,7 @@
   LinkCounters& mCounters;
   mutable std::mutex mMutex; ///< guards the members below
   Address mAddress;
-  base::Duration mDelay;
+  ReconnectBackoff mBackoff;
   std::minstd_rand mRandom;
   LinkPtr mLink;
   bool mIsUp = false;
@@ -193,7 +195,7 @@
   {
     const std::lock_guard<std::mutex> lock(mImpl->mMutex);
     mImpl->mAddress = aAddress;
-    mImpl->mDelay = mImpl->mOptions.mReconnect.mInitialDelay;
+    mImpl->mBackoff = BeginBackoff(mImpl->mOptions.mReconnect);
     mImpl->mRedirected = true;
     link = mImpl->mLink;
   }
--- a/dogwooddrum/transport/TcpLink.cpp
+++ b/dogwooddrum/transport/TcpLink.cpp
@@ -290,7 +290,7 @@
 TcpLink::ReceiveDeadline() const
 {
   return mState == State::Up ? mLastReceived + mOptions.mSilenceTimeout
-                             : mStarted + mOptions.mConnectTimeout;
+                             : mStarted + mOptions.mHandshakeTimeout;
 }
 
 void
