Allow first connection attempts the time that the last one took

Cause: with a first timeout of 100 ms, a path between distant regions, where a connection takes 300 ms, costs three failed attempts after each loss of a link.

Change: LinkClient measures how long a connection took, and allows twice that for the first attempt after a loss; a redirect to another address forgets it.

Measured: ReconnectTimes passes (5 tests, one new), and the tests of links, processes, joins, repairs and the soak pass. With the timeout of the first attempt set to 1 s, HostIsFoundWithinTheTimeThatItWasAway fails.

--- a/dogwooddrum/transport/LinkClient.cpp
+++ b/dogwooddrum/transport/LinkClient.cpp
@@ -20,7 +20,7 @@
     , mEvents(aEvents)
     , mCounters(aCounters)
     , mAddress(aAddress)
-    , mBackoff(BeginBackoff(aOptions.mReconnect))
+    , mBackoff(BeginBackoff(aOptions.mReconnect, {}))
     , mRandom(std::random_device{}())
   {
   }
@@ -37,6 +37,8 @@
     Strand mStrand;
     tcp::socket mSocket;
     asio::steady_timer mTimer;
+    const std::chrono::steady_clock::time_point mBegin =
+      std::chrono::steady_clock::now();
   };
 
   void Connect()
@@ -91,6 +93,8 @@
       if (mStopped) {
         return;
       }
+      mConnectTime = std::chrono::duration_cast<base::Duration>(
+        std::chrono::steady_clock::now() - aAttempt.mBegin);
       mLink = link;
     }
     link->Start();
@@ -105,7 +109,8 @@
       {
         const std::lock_guard<std::mutex> lock(self->mMutex);
         self->mIsUp = true;
-        self->mBackoff = BeginBackoff(self->mOptions.mReconnect);
+        self->mBackoff =
+          BeginBackoff(self->mOptions.mReconnect, self->mConnectTime);
       }
       self->mEvents.mUp(aLink);
     };
@@ -145,6 +150,7 @@
   mutable std::mutex mMutex; ///< guards the members below
   Address mAddress;
   ReconnectBackoff mBackoff;
+  base::Duration mConnectTime{}; ///< of the last connection; 0: none yet
   std::minstd_rand mRandom;
   LinkPtr mLink;
   bool mIsUp = false;
@@ -195,7 +201,9 @@
   {
     const std::lock_guard<std::mutex> lock(mImpl->mMutex);
     mImpl->mAddress = aAddress;
-    mImpl->mBackoff = BeginBackoff(mImpl->mOptions.mReconnect);
+    mImpl->mConnectTime = {};
+    mImpl->mBackoff =
+      BeginBackoff(mImpl->mOptions.mReconnect, mImpl->mConnectTime);
     mImpl->mRedirected = true;
     link = mImpl->mLink;
   }
--- a/dogwooddrum/transport/ReconnectBackoff.cpp
+++ b/dogwooddrum/transport/ReconnectBackoff.cpp
@@ -5,10 +5,11 @@
 namespace dogwooddrum::transport {
 
 ReconnectBackoff
-BeginBackoff(const ReconnectOptions& aOptions)
+BeginBackoff(const ReconnectOptions& aOptions, base::Duration aConnectTime)
 {
   return { aOptions.mInitialDelay,
-           std::min(aOptions.mInitialTimeout, aOptions.mMaxTimeout) };
+           std::min(std::max(aOptions.mInitialTimeout, aConnectTime * 2),
+                    aOptions.mMaxTimeout) };
 }
 
 ReconnectBackoff
--- a/dogwooddrum/transport/ReconnectBackoff.h
+++ b/dogwooddrum/transport/ReconnectBackoff.h
@@ -24,7 +24,9 @@
  * A host without power leaves an attempt unanswered, and nothing tells the
  * client that it has returned. Attempts therefore begin short and grow with the
  * number of failures: the host is found about as long after its return as it
- * was away, and at most mMaxTimeout and mMaxDelay after it.
+ * was away, and at most mMaxTimeout and mMaxDelay after it. A path that is
+ * slower than mInitialTimeout costs some attempts at first; later ones allow
+ * for the time that the last connection took.
  */
 struct ReconnectBackoff
 {
@@ -32,9 +34,10 @@
   base::Duration mTimeout;    ///< of the next attempt
 };
 
-/** Returns the state before the first attempt. Thread safe. */
+/** Returns the state before the first attempt. aConnectTime: how long the last
+ * connection to the host took; 0: not known. Thread safe. */
 ReconnectBackoff
-BeginBackoff(const ReconnectOptions& aOptions);
+BeginBackoff(const ReconnectOptions& aOptions, base::Duration aConnectTime);
 
 /** Returns the state after one more attempt has failed: the bound of the pause
  * doubles, and the timeout grows by half. Thread safe. */
--- a/tests/correctness/ReconnectTimes.cpp
+++ b/tests/correctness/ReconnectTimes.cpp
@@ -27,7 +27,7 @@
 FindHost(const ReconnectOptions& aOptions, Duration aAbsence)
 {
   Search search;
-  auto backoff = BeginBackoff(aOptions);
+  auto backoff = BeginBackoff(aOptions, {});
   for (search.mAttempts = 1; search.mFoundAfter < aAbsence;
        ++search.mAttempts) {
     const Duration timeout = backoff.mTimeout;
@@ -64,11 +64,28 @@
   EXPECT_LE(FindHost({}, Milliseconds(60000)).mAttempts, 60);
 }
 
+// Between distant regions a connection takes longer than the first timeout.
+TEST(ReconnectTimes, DistantHostIsConnectedSoon)
+{
+  const Duration connectTime = Milliseconds(300);
+  const ReconnectOptions options;
+  Duration spent{};
+  auto backoff = BeginBackoff(options, {});
+  while (backoff.mTimeout < connectTime) {
+    const Duration timeout = backoff.mTimeout;
+    backoff = GrowBackoff(backoff, options);
+    spent += timeout + backoff.mDelayBound;
+  }
+  EXPECT_LE(spent + connectTime, Milliseconds(1500));
+  EXPECT_GT(BeginBackoff(options, connectTime).mTimeout, connectTime);
+}
+
 TEST(ReconnectTimes, FirstTimeoutIsWithinTheLimit)
 {
   ReconnectOptions options;
   options.mMaxTimeout = Milliseconds(50);
-  EXPECT_EQ(BeginBackoff(options).mTimeout, Milliseconds(50));
+  EXPECT_EQ(BeginBackoff(options, {}).mTimeout, Milliseconds(50));
+  EXPECT_EQ(BeginBackoff(options, Milliseconds(40)).mTimeout, Milliseconds(50));
 }
 
 } // namespace
