Let guaranteed work reclaim from urgent work beyond a guarantee

A borrowing job of priority 0 held all workers, and only runs of less urgent queues could be stopped, so that guaranteed work of another account waited 3.3 s for a run to end.

Change: runs of priority 0 that their account's guarantee doesn't cover may be stopped, by guaranteed work that has waited 1.5 s and whose account has no more urgent work than its guarantee. A decision finds the guarantees once, for the views of the workers and for the order. OpenRun::mGuaranteed was never read and is removed.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -56,7 +56,6 @@
     open.mStartedAt = aLeader.mNow;
     open.mCheckpoint = record->mCheckpoint;
     open.mResumedFrom = record->mCheckpoint;
-    open.mGuaranteed = aUnit.mGuaranteed;
     AddEvent(aLeader,
              WorkloadEvent::Kind::RunStarted,
              { { "task", ToString(task) },
@@ -184,8 +183,9 @@
   BeginOccurrences(aLeader);
   StopRunsOnLeavingTargets(aLeader);
   StopStalledRuns(aLeader);
-  auto views = MakeWorkerViews(aLeader);
-  auto units = CollectUnits(aLeader, views);
+  const auto guarantees = FindGuarantees(aLeader);
+  auto views = MakeWorkerViews(aLeader, guarantees);
+  auto units = CollectUnits(aLeader, views, guarantees);
   const WorkloadStep* fullStep = nullptr; // no further task of it fits
   bool isHeadroomReserved = false;
   StepPlacements placed;
--- a/dogwooddrum/coordination/workloads/Headroom.cpp
+++ b/dogwooddrum/coordination/workloads/Headroom.cpp
@@ -70,7 +70,9 @@
 {
   ResourceVector resources = aWorker.mFree + aWorker.mReleasing;
   for (const Victim& victim : aWorker.mVictims) {
-    resources = resources + victim.mResources;
+    if (victim.mPriority > 0) {
+      resources = resources + victim.mResources;
+    }
   }
   return resources;
 }
--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -33,7 +33,6 @@
   bool mCommitted = false;
   bool mStopping = false;
   bool mEnding = false; ///< its end has been proposed
-  bool mGuaranteed = false;
 };
 
 /** One incarnation of a target, and the agent that reports on it. */
--- a/dogwooddrum/coordination/workloads/Objectives.cpp
+++ b/dogwooddrum/coordination/workloads/Objectives.cpp
@@ -71,8 +71,8 @@
   return begin + AllowedTimeMs(spec, aQueue);
 }
 
-std::set<WorkloadId>
-FindGuaranteed(const LeaderContext& aLeader)
+Guarantees
+FindGuarantees(const LeaderContext& aLeader)
 {
   std::vector<std::pair<std::int64_t, WorkloadId>> urgent;
   for (const WorkloadId& id : aLeader.mState->Active()) {
@@ -84,7 +84,7 @@
   }
   std::sort(urgent.begin(), urgent.end());
   std::map<base::AccountId, std::uint64_t> used;
-  std::set<WorkloadId> guaranteed;
+  Guarantees guarantees;
   for (const auto& [accepted, id] : urgent) {
     const auto* workload = aLeader.mState->Find(id);
     const auto* account =
@@ -93,10 +93,12 @@
     auto& sum = used[workload->mAccount];
     if (account != nullptr && sum + need <= account->mGuaranteedAccelerators) {
       sum += need;
-      guaranteed.insert(id);
+      guarantees.mCovered.insert(id);
+    } else {
+      guarantees.mExceeded.insert(workload->mAccount);
     }
   }
-  return guaranteed;
+  return guarantees;
 }
 
 } // namespace dogwooddrum::coordination::workloads
--- a/dogwooddrum/coordination/workloads/Objectives.h
+++ b/dogwooddrum/coordination/workloads/Objectives.h
@@ -29,9 +29,17 @@
         const protocol::Queue& aQueue,
         const OccurrenceRecord& aOccurrence);
 
-/** Returns the priority-0 workloads that fit into their accounts'
- * guarantees, the oldest first. */
-std::set<WorkloadId>
-FindGuaranteed(const LeaderContext& aLeader);
+/** Which urgent work (priority 0) the guarantees of client accounts cover. */
+struct Guarantees
+{
+  /** Workloads that fit into their accounts' guarantees, the oldest first. */
+  std::set<WorkloadId> mCovered;
+  /** Accounts with urgent work that have more of it than their guarantees. */
+  std::set<base::AccountId> mExceeded;
+};
+
+/** Returns what the guarantees cover of all urgent work that has not ended. */
+Guarantees
+FindGuarantees(const LeaderContext& aLeader);
 
 } // namespace dogwooddrum::coordination::workloads
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -214,7 +214,8 @@
 std::optional<Stops>
 CheapestStops(const WorkerView& aWorker,
               const ResourceVector& aNeed,
-              std::uint32_t aBelow)
+              std::uint32_t aBelow,
+              bool aReclaims)
 {
   ResourceVector available = aWorker.mFree + aWorker.mReleasing;
   if (Fits(aNeed, available)) {
@@ -222,7 +223,8 @@
   }
   std::vector<const Victim*> candidates;
   for (const Victim& victim : aWorker.mVictims) {
-    if (victim.mPriority > aBelow) {
+    if (victim.mPriority > aBelow ||
+        (aReclaims && victim.mPriority == aBelow)) {
       candidates.push_back(&victim);
     }
   }
@@ -287,6 +289,7 @@
 PlanStops(const PlacementUnit& aUnit,
           std::uint32_t aBelow,
           double aAllowedLoss,
+          bool aReclaims,
           const std::vector<WorkerView>& aWorkers,
           const Predicate& aIsAllowed)
 {
@@ -310,7 +313,7 @@
       if (!IsBelowStepLimit(aUnit, stepTasks, indices[i])) {
         continue;
       }
-      auto found = CheapestStops(scratch[i], need, aBelow);
+      auto found = CheapestStops(scratch[i], need, aBelow, aReclaims);
       if (found && (!best || found->mCost < bestStops.mCost)) {
         best = i;
         bestStops = std::move(*found);
@@ -408,20 +411,25 @@
                std::vector<WorkerView>& aWorkers,
                const PlacementOptions& aOptions)
 {
+  const bool reclaims =
+    aUnit.mMayReclaim && aUnit.mWaitedMs >= aOptions.mReclaimWaitMs;
   std::optional<CostedPlan> best;
   if (WaitsForLocality(aUnit, aWorkers, aOptions)) {
     for (const base::RackId& rack : PreferredRacks(aUnit, aWorkers)) {
       auto plan = PlanStops(
-        aUnit, aBelow, aAllowedLoss, aWorkers, [&](const WorkerView& aWorker) {
-          return aWorker.mRack == rack;
-        });
+        aUnit,
+        aBelow,
+        aAllowedLoss,
+        reclaims,
+        aWorkers,
+        [&](const WorkerView& aWorker) { return aWorker.mRack == rack; });
       if (plan && (!best || plan->mCost < best->mCost)) {
         best = std::move(plan);
       }
     }
   } else {
-    best =
-      PlanStops(aUnit, aBelow, aAllowedLoss, aWorkers, [](const WorkerView&) {
+    best = PlanStops(
+      aUnit, aBelow, aAllowedLoss, reclaims, aWorkers, [](const WorkerView&) {
         return true;
       });
   }
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -41,7 +41,8 @@
 bool
 Fits(const ResourceVector& aNeed, const ResourceVector& aFree);
 
-/** A run that may be preempted by more urgent work. */
+/** A run that may be preempted by more urgent work; a run of priority 0, which
+ * then exceeds its account's guarantee, only by work that reclaims one. */
 struct Victim
 {
   RunId mRun;
@@ -76,6 +77,7 @@
   protocol::PoolName mPool;
   std::uint32_t mPriority = 0;
   bool mGuaranteed = false;  ///< within its client account's guarantee
+  bool mMayReclaim = false;  ///< all urgent work of its account is guaranteed
   std::int64_t mDueAtMs = 0; ///< Unix time; the earliest is placed first
   std::int64_t mWaitedMs = 0;
   /** Targets on which a task of the unit failed before. */
@@ -95,6 +97,10 @@
   /** Longest wait of guaranteed work for a preferred rack; the platform
    * requires its start within 2900 ms, of which a stop takes 900 ms. */
   std::int64_t mGuaranteedLocalityWaitMs = 1500;
+  /** Wait of a unit that may reclaim before it stops urgent work of other
+   * accounts, which often ends by itself by then. The platform requires the
+   * start within the same time as above. */
+  std::int64_t mReclaimWaitMs = 1500;
   /** Longest wait for a preferred rack while much of the pool is idle; the
    * platform allows 3000 ms. */
   std::int64_t mIdleLocalityWaitMs = 2000;
@@ -125,10 +131,11 @@
 
 /**
  * Returns the cheapest plan that makes the unit fit by stopping runs of a
- * higher priority number than aBelow; on a preferred rack while the unit waits
- * for one. Subtracts the unit's resources from aWorkers, so that no other unit
- * gets them. Returns an empty optional and changes nothing if there is no such
- * plan or if its stops lose more than aAllowedLoss core-seconds.
+ * higher priority number than aBelow, or also of aBelow if the unit reclaims
+ * its account's guarantee; on a preferred rack while the unit waits for one.
+ * Subtracts the unit's resources from aWorkers, so that no other unit gets
+ * them. Returns an empty optional and changes nothing if there is no such plan
+ * or if its stops lose more than aAllowedLoss core-seconds.
  */
 std::optional<PreemptionPlan>
 PlanPreemption(const PlacementUnit& aUnit,
--- a/dogwooddrum/coordination/workloads/Units.cpp
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -1,7 +1,5 @@
 #include "dogwooddrum/coordination/workloads/Units.h"
 
-#include "dogwooddrum/coordination/workloads/Objectives.h"
-
 #include <algorithm>
 #include <tuple>
 
@@ -15,11 +13,11 @@
 public:
   UnitCollector(LeaderContext& aLeader,
                 const std::vector<WorkerView>& aViews,
-                const std::set<WorkloadId>& aGuaranteed,
+                const Guarantees& aGuarantees,
                 std::vector<PlacementUnit>& aUnits)
     : mLeader(aLeader)
     , mViews(aViews)
-    , mGuaranteed(aGuaranteed)
+    , mGuarantees(aGuarantees)
     , mUnits(aUnits)
   {
     for (const auto& [run, open] : aLeader.mRuns) {
@@ -64,7 +62,9 @@
     base.mStep = &spec;
     base.mPool = aQueue.mPool;
     base.mPriority = aQueue.mPriority;
-    base.mGuaranteed = mGuaranteed.count(aId) > 0;
+    base.mGuaranteed = mGuarantees.mCovered.count(aId) > 0;
+    base.mMayReclaim =
+      base.mGuaranteed && mGuarantees.mExceeded.count(aWorkload.mAccount) == 0;
     base.mDueAtMs = DueAtMs(aWorkload, aQueue, aOccurrence);
     std::vector<TaskId> waiting;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
@@ -127,7 +127,7 @@
 
   LeaderContext& mLeader;
   const std::vector<WorkerView>& mViews;
-  const std::set<WorkloadId>& mGuaranteed;
+  const Guarantees& mGuarantees;
   std::vector<PlacementUnit>& mUnits;
   std::set<TaskId> mOpen;
 };
@@ -151,11 +151,12 @@
 } // namespace
 
 std::vector<PlacementUnit>
-CollectUnits(LeaderContext& aLeader, const std::vector<WorkerView>& aViews)
+CollectUnits(LeaderContext& aLeader,
+             const std::vector<WorkerView>& aViews,
+             const Guarantees& aGuarantees)
 {
-  const auto guaranteed = FindGuaranteed(aLeader);
   std::vector<PlacementUnit> units;
-  UnitCollector collector(aLeader, aViews, guaranteed, units);
+  UnitCollector collector(aLeader, aViews, aGuarantees, units);
   for (const WorkloadId& id : aLeader.mState->Active()) {
     collector.Collect(id);
   }
--- a/dogwooddrum/coordination/workloads/WorkerViews.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -69,6 +69,17 @@
            aLeader.mOptions.mStopTime + kOrderRoundTrip;
 }
 
+/** Returns whether a run may be stopped for other work: urgent work only beyond
+ * its account's guarantee. */
+bool
+IsStoppable(const RunId& aRun,
+            const OpenRun& aOpen,
+            const Guarantees& aGuarantees)
+{
+  return aOpen.mPriority > 0 ||
+         aGuarantees.mCovered.count(aRun.mTask.mWorkload) == 0;
+}
+
 bool
 IsSuspect(const LeaderContext& aLeader, const Worker& aWorker)
 {
@@ -87,7 +98,7 @@
 } // namespace
 
 std::vector<WorkerView>
-MakeWorkerViews(const LeaderContext& aLeader)
+MakeWorkerViews(const LeaderContext& aLeader, const Guarantees& aGuarantees)
 {
   const std::uint32_t leastUrgent = LeastUrgentPriority(aLeader);
   std::vector<WorkerView> views;
@@ -135,7 +146,7 @@
     view.mFree = view.mFree - open.mResources;
     if (open.mStopping || open.mEnding || EndsSoon(aLeader, run, open)) {
       view.mReleasing = view.mReleasing + open.mResources;
-    } else if (open.mCommitted && open.mPriority > 0) {
+    } else if (open.mCommitted && IsStoppable(run, open, aGuarantees)) {
       Victim victim;
       victim.mRun = run;
       victim.mGang = GangOf(aLeader, run);
--- a/dogwooddrum/coordination/workloads/WorkerViews.h
+++ b/dogwooddrum/coordination/workloads/WorkerViews.h
@@ -6,11 +6,13 @@
 #pragma once
 
 #include "dogwooddrum/coordination/workloads/LeaderContext.h"
+#include "dogwooddrum/coordination/workloads/Objectives.h"
 
 namespace dogwooddrum::coordination::workloads {
 
-/** Returns a view of each worker, ordered by target incarnation. */
+/** Returns a view of each worker, ordered by target incarnation. aGuarantees:
+ * of this decision. */
 std::vector<WorkerView>
-MakeWorkerViews(const LeaderContext& aLeader);
+MakeWorkerViews(const LeaderContext& aLeader, const Guarantees& aGuarantees);
 
 } // namespace dogwooddrum::coordination::workloads
--- a/tests/correctness/WorkloadPreemption.cpp
+++ b/tests/correctness/WorkloadPreemption.cpp
@@ -31,6 +31,49 @@
   EXPECT_LE(sim.FirstStartMs("urgent"), 3400);
 }
 
+// Urgent work of another account used every worker beyond that account's
+// guarantee, and could not be stopped: guaranteed work waited for it to end.
+TEST(WorkloadPreemption, GuaranteedWorkStopsUrgentWorkBeyondAGuarantee)
+{
+  WorkloadSimulation sim(FullPool(8));
+  sim.RunFor(500);
+  sim.SetRunTime("borrower", 60000);
+  sim.Submit("borrower", "p0", OneStepSpec(2, 1000, 8, false), "other");
+  sim.RunFor(2000);
+  sim.Submit("urgent", "p0", OneStepSpec(1, 1000, 8, false));
+  sim.RunFor(3400);
+  EXPECT_GE(sim.FirstStartMs("urgent"), 0);
+  EXPECT_LE(sim.FirstStartMs("urgent"), 2700);
+}
+
+TEST(WorkloadPreemption, UrgentWorkThatEndsSoonIsNotStoppedForAGuarantee)
+{
+  WorkloadSimulation sim(FullPool(8));
+  sim.RunFor(500);
+  sim.SetRunTime("borrower", 3000);
+  sim.Submit("borrower", "p0", OneStepSpec(2, 1000, 8, false), "other");
+  sim.RunFor(2000);
+  sim.Submit("urgent", "p0", OneStepSpec(1, 1000, 8, false));
+  sim.RunFor(6000);
+  EXPECT_EQ(sim.StartCount("borrower"), 2);
+  EXPECT_EQ(sim.Phase("borrower"), WorkloadPhase::Complete);
+}
+
+TEST(WorkloadPreemption, AccountBeyondItsGuaranteeStopsNoUrgentWork)
+{
+  WorkloadSimulation sim(FullPool(8));
+  sim.RunFor(500);
+  sim.SetRunTime("borrower", 60000);
+  sim.SetRunTime("large", 60000);
+  sim.Submit("borrower", "p0", OneStepSpec(1, 1000, 8, false), "other");
+  sim.Submit("large", "p0", OneStepSpec(2, 1000, 8, false));
+  sim.RunFor(2000);
+  sim.Submit("small", "p0", OneStepSpec(1, 1000, 8, false));
+  sim.RunFor(6000);
+  EXPECT_EQ(sim.StartCount("borrower"), 1);
+  EXPECT_EQ(sim.StartCount("large"), 1);
+}
+
 TEST(WorkloadPreemption, SmallUrgentTasksDoNotStopANearlyDoneGang)
 {
   WorkloadSimulation sim(FullPool(0));
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -137,7 +137,8 @@
 void
 WorkloadSimulation::Submit(const std::string& aId,
                            const std::string& aQueue,
-                           protocol::WorkloadSpec aSpec)
+                           protocol::WorkloadSpec aSpec,
+                           const std::string& aAccount)
 {
   mSpecs[aId] = aSpec;
   mSubmittedAt[aId] = mNowMs;
@@ -145,7 +146,7 @@
   protocol::SubmitWorkload submit;
   submit.mId = WorkloadId(aId);
   submit.mQueue = protocol::QueueName(aQueue);
-  submit.mAccount = base::AccountId("tenant");
+  submit.mAccount = base::AccountId(aAccount);
   submit.mSpec = std::move(aSpec);
   request.mBody = std::move(submit);
   mScheduler->OnRequest(Session(1), request, mNow);
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -55,7 +55,8 @@
   /** Submits a workload to the queue "p0", "p1" or "p2", of that priority. */
   void Submit(const std::string& aId,
               const std::string& aQueue,
-              protocol::WorkloadSpec aSpec);
+              protocol::WorkloadSpec aSpec,
+              const std::string& aAccount = "tenant");
   void Cancel(const std::string& aId);
   /** Sets the run time of each task of the workload, in ms. */
   void SetRunTime(const std::string& aId, std::int64_t aMs);
