Make the test of the wait before a reclaim fail without the wait

Cause: in UrgentWorkThatEndsSoonIsNotStoppedForAGuarantee the runs had 1 s left, which counts as about to end also without the wait, so that the test passed with the wait removed.

--- a/tests/correctness/WorkloadPreemption.cpp
+++ b/tests/correctness/WorkloadPreemption.cpp
@@ -46,11 +46,12 @@
   EXPECT_LE(sim.FirstStartMs("urgent"), 2700);
 }
 
+// The runs have 2 s left, too long to count as about to end without the wait.
 TEST(WorkloadPreemption, UrgentWorkThatEndsSoonIsNotStoppedForAGuarantee)
 {
   WorkloadSimulation sim(FullPool(8));
   sim.RunFor(500);
-  sim.SetRunTime("borrower", 3000);
+  sim.SetRunTime("borrower", 4000);
   sim.Submit("borrower", "p0", OneStepSpec(2, 1000, 8, false), "other");
   sim.RunFor(2000);
   sim.Submit("urgent", "p0", OneStepSpec(1, 1000, 8, false));
