--- a/tests/support/ProcessCluster.cpp
+++ b/tests/support/ProcessCluster.cpp
@@ -12,6 +12,7 @@
 #include <spawn.h>
 #include <sstream>
 #include <sys/file.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -251,6 +252,16 @@
   ::kill(mPids.at(aName), aSignal);
 }
 
+void
+ProcessCluster::LimitFileSize(const std::string& aName,
+                              std::optional<std::uint64_t> aBytes) const
+{
+  rlimit limit = {};
+  ::prlimit(mPids.at(aName), RLIMIT_FSIZE, nullptr, &limit);
+  limit.rlim_cur = aBytes.value_or(limit.rlim_max);
+  ::prlimit(mPids.at(aName), RLIMIT_FSIZE, &limit, nullptr);
+}
+
 void
 ProcessCluster::Kill(const std::string& aName)
 {
--- a/tests/support/ProcessCluster.h
+++ b/tests/support/ProcessCluster.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -49,6 +50,10 @@
   void Start(const std::string& aName);
   /** Sends a signal. */
   void Signal(const std::string& aName, int aSignal) const;
+  /** Makes writes beyond aBytes of a file fail; none: lifts the limit. The
+   * test must ignore SIGXFSZ before it starts the process. */
+  void LimitFileSize(const std::string& aName,
+                     std::optional<std::uint64_t> aBytes) const;
   /** Kills and reaps a process. */
   void Kill(const std::string& aName);
   /** Waits for the end of a process; returns its exit status, or -1. */
