Let the fake disk lose each unsynced change of a folder by itself

Cause: at a loss of power, the fake disk kept the first few unsynced creations, renames and removals. The platform keeps or loses each of them independently. A sync of one folder also made the changes of all others durable.

Change: FakeFileSystem keeps or loses each change by itself, knows folders, and syncs one folder at a time. LosePower takes the changes to keep, for tests that try all of them. ControlNode can lose power or its disk without a new start.

--- a/tests/support/ControlNode.cpp
+++ b/tests/support/ControlNode.cpp
@@ -67,9 +67,24 @@
 void
 ControlNode::Kill()
 {
-  if (!IsRunning()) {
-    return;
+  if (IsRunning()) {
+    EndProcess();
+    mFiles.Crash(mSimulation.Random(), mSimulation.Chance(70));
+  }
+}
+
+void
+ControlNode::LosePower()
+{
+  if (IsRunning()) {
+    EndProcess();
+    mFiles.Crash(mSimulation.Random(), true);
   }
+}
+
+void
+ControlNode::EndProcess()
+{
   if (mLogJobRunning && mSimulation.Chance(50)) {
     mFiles.mRemainingChanges = mSimulation.Random()() % 6;
     std::vector<consensus::PersistWork> ignored;
@@ -83,7 +98,6 @@
   mRaft.reset();
   mApplication.reset();
   mStorage.reset();
-  mFiles.Crash(mSimulation.Random(), mSimulation.Chance(70));
 }
 
 void
@@ -98,14 +112,19 @@
 }
 
 void
-ControlNode::ReplaceDisk(base::MemberId aNewId)
+ControlNode::LoseDisk(base::MemberId aNewId)
 {
   Kill();
-  mFiles.mFiles.clear();
-  mFiles.SyncFolder(kFolder);
+  mFiles.Erase();
   mId = aNewId;
   mInitial = {};
   mHasDisk = false;
+}
+
+void
+ControlNode::ReplaceDisk(base::MemberId aNewId)
+{
+  LoseDisk(aNewId);
   Start();
 }
 
--- a/tests/support/ControlNode.h
+++ b/tests/support/ControlNode.h
@@ -69,9 +69,15 @@
               consensus::Membership aInitial);
 
   void Start();
+  /** Ends the process, often in the middle of a write, and mostly with a loss
+   * of power. */
   void Kill();
+  /** Ends the process, often in the middle of a write, with a loss of power. */
+  void LosePower();
   void Freeze() { mFrozen = true; }
   void Thaw();
+  /** Kills the process and empties its disk; Start starts a new member. */
+  void LoseDisk(base::MemberId aNewId);
   /** Kills the process, empties its disk and starts it as a new member. */
   void ReplaceDisk(base::MemberId aNewId);
   /** Runs aEvent in the process; if it is frozen, after Thaw. */
@@ -95,6 +101,7 @@
 private:
   using LogJob = std::variant<consensus::PersistWork, consensus::Snapshot>;
 
+  void EndProcess();
   void Tick(std::uint64_t aGeneration);
   void ProcessReady();
   void HandleReady(consensus::Ready aReady);
--- a/tests/support/FakeFileSystem.cpp
+++ b/tests/support/FakeFileSystem.cpp
@@ -1,5 +1,8 @@
 #include "tests/support/FakeFileSystem.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace dogwooddrum::support {
 
 namespace {
@@ -13,6 +16,13 @@
   return { base::Reason::StorageFailed, aPath + ": " + aError };
 }
 
+std::string
+ParentOf(const std::string& aPath)
+{
+  const auto slash = aPath.rfind('/');
+  return slash == std::string::npos ? "" : aPath.substr(0, slash);
+}
+
 class FakeAppendFile : public state::AppendFile
 {
 public:
@@ -92,16 +102,30 @@
 }
 
 void
-FakeFileSystem::ApplyChange(std::function<void(Folder&)> aChange)
+FakeFileSystem::ApplyChange(const std::string& aPath, Change aChange)
 {
-  aChange(mFiles);
-  mUnsyncedChanges.push_back(std::move(aChange));
+  Tree tree{ std::move(mFiles), std::move(mFolders) };
+  aChange(tree);
+  mFiles = std::move(tree.mFiles);
+  mFolders = std::move(tree.mFolders);
+  mUnsyncedChanges.push_back({ ParentOf(aPath), std::move(aChange) });
 }
 
 base::Outcome<bool>
-FakeFileSystem::CreateFolder(const std::string&)
+FakeFileSystem::CreateFolder(const std::string& aPath)
 {
-  return true;
+  const std::string parent = ParentOf(aPath);
+  if (parent.empty() || mFolders.count(aPath) > 0) {
+    return true; // the first level always exists
+  }
+  auto done = CreateFolder(parent);
+  if (done) {
+    done = FailOrCountChange(aPath);
+  }
+  if (done) {
+    ApplyChange(aPath, [aPath](Tree& aTree) { aTree.mFolders.insert(aPath); });
+  }
+  return done;
 }
 
 base::Outcome<std::vector<std::string>>
@@ -109,10 +133,16 @@
 {
   std::vector<std::string> names;
   for (const auto& [path, file] : mFiles) {
-    if (path.rfind(aPath + "/", 0) == 0) {
+    if (ParentOf(path) == aPath) {
       names.push_back(path.substr(aPath.size() + 1));
     }
   }
+  for (const std::string& folder : mFolders) {
+    if (ParentOf(folder) == aPath) {
+      names.push_back(folder.substr(aPath.size() + 1));
+    }
+  }
+  std::sort(names.begin(), names.end());
   return names;
 }
 
@@ -134,8 +164,8 @@
     if (!done) {
       return done.LastFailure();
     }
-    ApplyChange([aPath, file = std::make_shared<File>()](Folder& aFolder) {
-      aFolder[aPath] = file;
+    ApplyChange(aPath, [aPath, file = std::make_shared<File>()](Tree& aTree) {
+      aTree.mFiles[aPath] = file;
     });
   }
   return std::unique_ptr<state::AppendFile>(
@@ -156,10 +186,13 @@
 FakeFileSystem::Rename(const std::string& aFrom, const std::string& aTo)
 {
   auto done = FailOrCountChange(aFrom);
+  if (done && mFiles.count(aFrom) == 0) {
+    return StorageFailure(aFrom, "no such file");
+  }
   if (done) {
-    ApplyChange([aFrom, aTo](Folder& aFolder) {
-      aFolder[aTo] = aFolder[aFrom];
-      aFolder.erase(aFrom);
+    ApplyChange(aTo, [aFrom, aTo, file = mFiles[aFrom]](Tree& aTree) {
+      aTree.mFiles[aTo] = file;
+      aTree.mFiles.erase(aFrom);
     });
   }
   return done;
@@ -169,8 +202,11 @@
 FakeFileSystem::Remove(const std::string& aPath)
 {
   auto done = FailOrCountChange(aPath);
+  if (done && mFiles.count(aPath) == 0) {
+    return StorageFailure(aPath, "no such file");
+  }
   if (done) {
-    ApplyChange([aPath](Folder& aFolder) { aFolder.erase(aPath); });
+    ApplyChange(aPath, [aPath](Tree& aTree) { aTree.mFiles.erase(aPath); });
   }
   return done;
 }
@@ -180,12 +216,44 @@
 {
   auto done = FailOrCountChange(aPath);
   if (done && !mSkipsSyncs) {
-    mDurableFiles = mFiles;
-    mUnsyncedChanges.clear();
+    auto remaining = std::stable_partition(
+      mUnsyncedChanges.begin(), mUnsyncedChanges.end(), [&](const auto& aEach) {
+        return aEach.mParent == aPath;
+      });
+    for (auto it = mUnsyncedChanges.begin(); it != remaining; ++it) {
+      it->mApply(mDurable);
+    }
+    mUnsyncedChanges.erase(mUnsyncedChanges.begin(), remaining);
   }
   return done;
 }
 
+void
+FakeFileSystem::KeepChanges(const std::function<bool(std::size_t)>& aIsKept)
+{
+  for (std::size_t i = 0; i < mUnsyncedChanges.size(); ++i) {
+    if (aIsKept(i)) {
+      mUnsyncedChanges[i].mApply(mDurable);
+    }
+  }
+  mUnsyncedChanges.clear();
+  // A file in a folder whose creation was lost is lost with the folder.
+  const auto isLost = [this](const std::string& aPath) {
+    for (std::string folder = ParentOf(aPath); !ParentOf(folder).empty();
+         folder = ParentOf(folder)) {
+      if (mDurable.mFolders.count(folder) == 0) {
+        return true;
+      }
+    }
+    return false;
+  };
+  for (auto it = mDurable.mFiles.begin(); it != mDurable.mFiles.end();) {
+    it = isLost(it->first) ? mDurable.mFiles.erase(it) : std::next(it);
+  }
+  mFiles = mDurable.mFiles;
+  mFolders = mDurable.mFolders;
+}
+
 void
 FakeFileSystem::Crash(std::mt19937_64& aRandom, bool aPowerLoss)
 {
@@ -193,15 +261,37 @@
   if (!aPowerLoss) {
     return;
   }
-  const std::size_t kept = aRandom() % (mUnsyncedChanges.size() + 1);
-  for (std::size_t i = 0; i < kept; ++i) {
-    mUnsyncedChanges[i](mDurableFiles);
-  }
-  mUnsyncedChanges.clear();
-  mFiles = mDurableFiles;
+  KeepChanges([&aRandom](std::size_t) { return aRandom() % 2 == 0; });
   for (auto& [path, file] : mFiles) {
     SimulatePowerLoss(*file, aRandom);
   }
 }
 
+void
+FakeFileSystem::LosePower(std::uint64_t aKept, Tail aTail)
+{
+  mRemainingChanges = std::numeric_limits<std::uint64_t>::max();
+  KeepChanges([aKept](std::size_t aIndex) { return (aKept >> aIndex) & 1U; });
+  for (auto& [path, file] : mFiles) {
+    const std::size_t from =
+      std::min(file->mDurableBytes.size(), file->mBytes.size());
+    const std::size_t unsynced = file->mBytes.size() - from;
+    if (aTail == Tail::Lost || unsynced == 0) {
+      file->mBytes = file->mDurableBytes;
+    } else if (aTail == Tail::Torn) {
+      file->mBytes.resize(from + unsynced / 2);
+    }
+    file->mDurableBytes = file->mBytes;
+  }
+}
+
+void
+FakeFileSystem::Erase()
+{
+  mFiles.clear();
+  mFolders.clear();
+  mDurable = {};
+  mUnsyncedChanges.clear();
+}
+
 } // namespace dogwooddrum::support
--- a/tests/support/FakeFileSystem.h
+++ b/tests/support/FakeFileSystem.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,10 +44,29 @@
 
   /**
    * Ends the process; mRemainingChanges is unlimited again. With aPowerLoss,
-   * unsynced bytes are lost, kept in part or torn, and only the first few
-   * unsynced creations, renames and removals are kept.
+   * unsynced bytes are lost, kept in part or torn, and each unsynced creation,
+   * rename and removal is kept or lost independently.
    */
   void Crash(std::mt19937_64& aRandom, bool aPowerLoss);
+  /** Unsynced bytes of each file after LosePower. */
+  enum class Tail : std::uint8_t
+  {
+    Lost,
+    Torn, ///< the first half is kept
+    Kept,
+    Count,
+  };
+  /**
+   * Ends the process and loses power: bit i of aKept says whether the
+   * unsynced change i of a folder is kept. Precondition: UnsyncedChanges() is
+   * at most 64.
+   */
+  void LosePower(std::uint64_t aKept, Tail aTail);
+  /** Returns the number of creations, renames and removals that no SyncFolder
+   * has made durable. */
+  std::size_t UnsyncedChanges() const { return mUnsyncedChanges.size(); }
+  /** Replaces the disk by an empty one. */
+  void Erase();
   /** Counts one change, or fails if an injected fault forbids changes. */
   base::Outcome<bool> FailOrCountChange(const std::string& aPath);
 
@@ -59,10 +79,25 @@
   std::uint64_t mRemainingChanges = std::numeric_limits<std::uint64_t>::max();
 
 private:
-  void ApplyChange(std::function<void(Folder&)> aChange);
+  /** Files and folders by full path. */
+  struct Tree
+  {
+    Folder mFiles;
+    std::set<std::string> mFolders;
+  };
+  using Change = std::function<void(Tree&)>;
+  struct UnsyncedChange
+  {
+    std::string mParent; ///< folder whose sync makes the change durable
+    Change mApply;
+  };
+
+  void ApplyChange(const std::string& aPath, Change aChange);
+  void KeepChanges(const std::function<bool(std::size_t)>& aIsKept);
 
-  Folder mDurableFiles; ///< at the last sync of the folder
-  std::vector<std::function<void(Folder&)>> mUnsyncedChanges;
+  std::set<std::string> mFolders; ///< below the first level
+  Tree mDurable;
+  std::vector<UnsyncedChange> mUnsyncedChanges;
 };
 
 } // namespace dogwooddrum::support
