Answer members that are not in the own membership

Cause: a member sends consensus messages only on links that it has opened to the members it knows. A member that joins replays the log and has an old membership for a while. If the present leader is not in it, because it was wiped or replaced itself before, the answers to the leader are dropped, and the leader waits for them before it sends the rest of the log. The member stays a learner for good; as the lost voter was removed first, the next lost disk leaves no quorum. A vote for a candidate that the voter does not know yet was dropped in the same way.

Change: PeerLinks remembers the link on which each sender's newest message arrived, and answers there if it has no open link of its own. Raft requires that requests are answered whatever the own membership says.

--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -481,7 +481,7 @@
     using transport::PeerRole;
     switch (aFrame.mType) {
       case MessageType::Consensus:
-        return peer.mRole == PeerRole::Control && OnConsensus(peer.mId, aFrame);
+        return peer.mRole == PeerRole::Control && OnConsensus(aLink, aFrame);
       case MessageType::MemberQuery:
         return peer.mRole == PeerRole::Control &&
                DecodeAndPost<base::MemberId>(
@@ -554,16 +554,19 @@
     }
   }
 
-  bool OnConsensus(std::uint64_t aPeer, const protocol::Frame& aFrame)
+  bool OnConsensus(const transport::LinkPtr& aLink,
+                   const protocol::Frame& aFrame)
   {
     auto message =
       protocol::Decode<coordination::consensus::Message>(aFrame.mPayload);
-    if (!message || message->mFrom.Value() != aPeer) {
+    if (!message || message->mFrom.Value() != aLink->Peer().mId) {
       return false;
     }
     if (message->mTo == mSettings.mMemberId) {
-      mLoop.Post(
-        [this, received = std::move(*message)] { mCore->Receive(received); });
+      mLoop.Post([this, aLink, received = std::move(*message)] {
+        mPeers->OnReceived(received.mFrom, aLink);
+        mCore->Receive(received);
+      });
     }
     return true;
   }
--- a/dogwooddrum/daemon/PeerLinks.cpp
+++ b/dogwooddrum/daemon/PeerLinks.cpp
@@ -47,13 +47,32 @@
   mPeers = std::move(peers);
 }
 
+void
+PeerLinks::OnReceived(base::MemberId aSender, const transport::LinkPtr& aLink)
+{
+  if (mIncoming.count(aSender) == 0) {
+    for (auto it = mIncoming.begin(); it != mIncoming.end();) {
+      it = it->second.expired() ? mIncoming.erase(it) : std::next(it);
+    }
+  }
+  mIncoming[aSender] = aLink;
+}
+
 void
 PeerLinks::Send(const coordination::consensus::Message& aMessage)
 {
-  const auto it = mPeers.find(aMessage.mTo);
-  if (it != mPeers.end()) {
-    it->second.mClient->Send(protocol::MessageType::Consensus,
-                             protocol::Encode(aMessage));
+  const auto bytes = protocol::Encode(aMessage);
+  const auto peer = mPeers.find(aMessage.mTo);
+  if (peer != mPeers.end() &&
+      peer->second.mClient->Send(protocol::MessageType::Consensus, bytes)) {
+    return;
+  }
+  const auto incoming = mIncoming.find(aMessage.mTo);
+  if (incoming == mIncoming.end()) {
+    return;
+  }
+  if (const auto link = incoming->second.lock()) {
+    link->Send(protocol::MessageType::Consensus, bytes);
   }
 }
 
@@ -61,6 +80,7 @@
 PeerLinks::Stop()
 {
   mPeers.clear();
+  mIncoming.clear();
 }
 
 } // namespace dogwooddrum::daemon
--- a/dogwooddrum/daemon/PeerLinks.h
+++ b/dogwooddrum/daemon/PeerLinks.h
@@ -14,7 +14,10 @@
 
 /**
  * Keeps one outgoing link to each other member. Messages are sent on these
- * links and received on the links that the other members open.
+ * links and received on the links that the other members open. A sender that is
+ * not a member here, or whose outgoing link is not open, is answered on the
+ * link that it opened: a member that is behind does not know newer ones, but
+ * their leader needs its answers to bring it up to date.
  * Thread safety: none; the decision thread owns the object.
  */
 class PeerLinks
@@ -27,7 +30,9 @@
             base::MemberId aSelf);
   /** Opens links to new members, and closes those to removed ones. */
   void Update(const coordination::consensus::Membership& aMembership);
-  /** Sends aMessage to its receiver. The message is dropped if the link is not
+  /** Records that a message from aSender arrived on aLink. */
+  void OnReceived(base::MemberId aSender, const transport::LinkPtr& aLink);
+  /** Sends aMessage to its receiver. The message is dropped if no link to it is
    * open. */
   void Send(const coordination::consensus::Message& aMessage);
   void Stop();
@@ -45,6 +50,8 @@
   transport::LinkCounters& mCounters;
   const base::MemberId mSelf;
   std::map<base::MemberId, Peer> mPeers;
+  /** Newest link that each sender has opened. */
+  std::map<base::MemberId, std::weak_ptr<transport::Link>> mIncoming;
 };
 
 } // namespace dogwooddrum::daemon
--- a/tests/error/GroupPowerLoss.cpp
+++ b/tests/error/GroupPowerLoss.cpp
@@ -80,6 +80,8 @@
   // State of the process, reset at each start.
   consensus::Membership mMembership; ///< that the links follow
   std::map<base::MemberId, Link> mLinks;
+  /** Sender and its process of the newest message of each member. */
+  std::map<base::MemberId, std::pair<Machine*, std::uint64_t>> mIncoming;
   std::map<std::string, Candidate> mCandidates;
   std::set<std::string> mKnownAddresses;
   base::Time mNextJoin;
@@ -132,6 +134,7 @@
   void StartProcess(Machine& aMachine);
   void EndProcess(Machine& aMachine, const std::function<void()>& aEnd);
   void Transfer(Machine& aFrom, Machine& aTo, std::function<void()> aDeliver);
+  Machine* FindReceiver(Machine& aFrom, base::MemberId aTo);
   void SendToMember(Machine& aFrom, const consensus::Message& aMessage);
   void UpdateLinks(Machine& aMachine, const consensus::Membership& aMembership);
   void Tick();
@@ -302,6 +305,7 @@
   ++aMachine.mProcess;
   aMachine.mMembership = {};
   aMachine.mLinks.clear();
+  aMachine.mIncoming.clear();
   aMachine.mCandidates.clear();
   aMachine.mKnownAddresses.clear();
   aMachine.mNextJoin = mSimulation.Now();
@@ -354,21 +358,39 @@
                  });
 }
 
-/** Sends as PeerLinks does: over the link that this process has opened to the
- * receiver, which has one to each member that it knows. */
+/** Returns the machine that a message can be sent to as PeerLinks does: over
+ * the link that the sender has opened to the receiver, or over the one on which
+ * the receiver's newest message came. Returns null if neither is open. */
+Machine*
+PowerLossGroup::FindReceiver(Machine& aFrom, base::MemberId aTo)
+{
+  const auto link = aFrom.mLinks.find(aTo);
+  if (link != aFrom.mLinks.end()) {
+    Machine* to = Find(link->second.mAddress);
+    if (to != nullptr && link->second.mTargetProcess == to->mProcess &&
+        mSimulation.Now() >= link->second.mOpenAt) {
+      return to;
+    }
+  }
+  const auto incoming = aFrom.mIncoming.find(aTo);
+  if (incoming != aFrom.mIncoming.end()) {
+    const auto& [sender, process] = incoming->second;
+    if (sender->mProcess == process) {
+      return sender;
+    }
+  }
+  return nullptr;
+}
+
 void
 PowerLossGroup::SendToMember(Machine& aFrom, const consensus::Message& aMessage)
 {
-  const auto it = aFrom.mLinks.find(aMessage.mTo);
-  if (it == aFrom.mLinks.end()) {
-    return;
-  }
-  Machine* to = Find(it->second.mAddress);
-  if (to == nullptr || it->second.mTargetProcess != to->mProcess ||
-      mSimulation.Now() < it->second.mOpenAt) {
+  Machine* to = FindReceiver(aFrom, aMessage.mTo);
+  if (to == nullptr) {
     return;
   }
-  Transfer(aFrom, *to, [this, to, aMessage] {
+  Transfer(aFrom, *to, [this, &aFrom, process = aFrom.mProcess, to, aMessage] {
+    to->mIncoming[aMessage.mFrom] = { &aFrom, process };
     to->mNode->GetRaft().Receive(aMessage, mSimulation.Now());
   });
 }
