Open the data folder again after a storage error

Cause: a member withdrew for good after one failed write. It still counted as a voter, asked nobody to replace it, and with the next lost disk the group had no quorum.

Change: while its storage has failed, a member opens its data folder again each second, as at a restart, and continues with a new core from what it recovers. It never takes an empty folder for its own. ControlStatus belongs to the host, since other threads read it while the core is replaced.

--- a/dogwooddrum/daemon/ControlCore.cpp
+++ b/dogwooddrum/daemon/ControlCore.cpp
@@ -55,16 +55,20 @@
        const coordination::consensus::RecoveredState& aRecovered,
        std::unique_ptr<state::Storage> aStorage,
        ControlCoreHooks aHooks,
+       ControlStatus& aStatus,
        EventLoop& aLoop)
     : mOptions(aOptions)
     , mHooks(std::move(aHooks))
     , mLoop(aLoop)
+    , mStatus(aStatus)
     , mRaft(aOptions.mRaft, aRecovered, Now())
     , mCoordinator(aOptions.mCoordinator)
     , mReplica(aOptions.mCoordinator)
     , mLog(std::move(aStorage), MakeLogEvents())
     , mSnapshotLoop(kSnapshotLoopTick, { [](base::Time) {}, [] {} })
   {
+    mStatus.mStorageFailed = false;
+    mStatus.mLeaderId = 0;
     if (aRecovered.mSnapshot) {
       DOGWOODDRUM_INVARIANT(
         mCoordinator.Restore(aRecovered.mSnapshot->mState) &&
@@ -363,6 +367,7 @@
   const ControlCoreOptions mOptions;
   const ControlCoreHooks mHooks;
   EventLoop& mLoop;
+  ControlStatus& mStatus;
   Raft mRaft;
   Coordinator mCoordinator;
   /** Applies the same entries as mCoordinator; used by the snapshot thread
@@ -370,7 +375,6 @@
   Coordinator mReplica;
   StorageThread mLog;
   EventLoop mSnapshotLoop;
-  ControlStatus mStatus;
   base::LogIndex mAppliedIndex;
   base::Term mAppliedTerm;
   base::LogIndex mSnapshotIndex;
@@ -395,11 +399,13 @@
   const coordination::consensus::RecoveredState& aRecovered,
   std::unique_ptr<state::Storage> aStorage,
   ControlCoreHooks aHooks,
+  ControlStatus& aStatus,
   EventLoop& aLoop)
   : mImpl(std::make_unique<Impl>(aOptions,
                                  aRecovered,
                                  std::move(aStorage),
                                  std::move(aHooks),
+                                 aStatus,
                                  aLoop))
 {
 }
--- a/dogwooddrum/daemon/ControlCore.h
+++ b/dogwooddrum/daemon/ControlCore.h
@@ -38,7 +38,8 @@
   std::function<void(const SyncResult&)> mSynced; ///< called on the log thread
 };
 
-/** State for /readyz and /metrics. Thread safe. */
+/** State for /readyz and /metrics. The host owns it, since a core may be
+ * replaced while the process runs. Thread safe. */
 struct ControlStatus
 {
   std::atomic<std::uint64_t> mTerm{ 0 };
@@ -66,18 +67,21 @@
 /**
  * Runs one control member: passes messages to Raft, committed entries to the
  * Coordinator, and writes to the log thread.
- * Thread safety: Status is thread safe; all other members belong to the thread
- * of aLoop, which must run Tick and ProcessOutput as its hooks.
+ * Thread safety: all members belong to the thread of aLoop, which must run Tick
+ * and ProcessOutput as its hooks. Events that the core has posted to aLoop
+ * refer to it: after Stop, it must be kept until these have run.
  */
 class ControlCore
 {
 public:
-  /** Restores the state machine. aLoop must outlive Stop. A snapshot that
-   * cannot be decoded breaks an invariant, since its checksum was verified. */
+  /** Restores the state machine. aStatus and aLoop must outlive the core. A
+   * snapshot that cannot be decoded breaks an invariant, since its checksum was
+   * verified. */
   ControlCore(const ControlCoreOptions& aOptions,
               const coordination::consensus::RecoveredState& aRecovered,
               std::unique_ptr<state::Storage> aStorage,
               ControlCoreHooks aHooks,
+              ControlStatus& aStatus,
               EventLoop& aLoop);
   ~ControlCore();
 
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -36,6 +36,8 @@
  * other members then hold an election. */
 constexpr base::Duration kTransferTimeout = base::Milliseconds(5000);
 constexpr base::Duration kTransferRetry = base::Milliseconds(500);
+/** Time between attempts to open the data folder after a storage error. */
+constexpr base::Duration kReopenInterval = base::Milliseconds(1000);
 /** Time after the transfer in which the last redirects are sent. */
 constexpr base::Duration kRedirectGrace = base::Milliseconds(200);
 
@@ -164,21 +166,12 @@
       }
       return opened.LastFailure();
     }
-    if (const auto& torn = opened->mStorage->TruncatedTail()) {
-      service::Log(LogEvent::TornTailTruncated,
-                   { { "file", torn->mFile }, { "offset", torn->mOffset } });
-    }
-    LogRecovered(opened->mRecovered);
     mPeers = std::make_unique<PeerLinks>(*mContext.mNetwork,
                                          options,
                                          MakeEvents(),
                                          *mContext.mCounters,
                                          mSettings.mMemberId);
-    mCore = std::make_unique<ControlCore>(MakeCoreOptions(mSettings),
-                                          opened->mRecovered,
-                                          std::move(opened->mStorage),
-                                          MakeHooks(),
-                                          mLoop);
+    mCore = MakeCore(std::move(*opened));
     const auto& common = mContext.mSettings.mCommon;
     auto server =
       transport::LinkServer::Listen(*mContext.mNetwork,
@@ -208,13 +201,12 @@
 
   bool IsReady() override
   {
-    const auto& status = mCore->Status();
-    return status.mLeaderId != 0 && !status.mStorageFailed;
+    return mStatus.mLeaderId != 0 && !mStatus.mStorageFailed;
   }
 
   void UpdateMetrics() override
   {
-    const auto& status = mCore->Status();
+    const auto& status = mStatus;
     auto& metrics = *mContext.mMetrics;
     const auto set = [&metrics](Gauge aGauge, std::uint64_t aValue) {
       metrics.Set(aGauge, static_cast<double>(aValue));
@@ -255,7 +247,7 @@
   bool IsDrained() override
   {
     const auto now = Now();
-    const auto& status = mCore->Status();
+    const auto& status = mStatus;
     if (status.mIsLeaderReady && status.mHasOtherVoters &&
         !status.mStorageFailed && now - mHandoverStartedAt < kTransferTimeout) {
       if (now - mLastTransferAt > kTransferRetry) {
@@ -320,6 +312,7 @@
   void Tick(base::Time aNow)
   {
     mCore->Tick(aNow);
+    ReopenStorageIfFailed(aNow);
     if (mOperatorServer) {
       mOperatorServer->Tick(aNow);
     }
@@ -333,7 +326,7 @@
    * partitioned. */
   void JoinIfNeeded(base::Time aNow)
   {
-    const bool isLeaderKnown = mCore->Status().mLeaderId != 0;
+    const bool isLeaderKnown = mStatus.mLeaderId != 0;
     mLeaderLastKnownAt = isLeaderKnown || mLeaderLastKnownAt == base::Time{}
                            ? aNow
                            : mLeaderLastKnownAt;
@@ -365,6 +358,68 @@
     });
   }
 
+  /** Returns a core that continues from the opened data folder. */
+  std::unique_ptr<ControlCore> MakeCore(OpenedDataFolder aOpened)
+  {
+    if (const auto& torn = aOpened.mStorage->TruncatedTail()) {
+      service::Log(LogEvent::TornTailTruncated,
+                   { { "file", torn->mFile }, { "offset", torn->mOffset } });
+    }
+    LogRecovered(aOpened.mRecovered);
+    return std::make_unique<ControlCore>(MakeCoreOptions(mSettings),
+                                         aOpened.mRecovered,
+                                         std::move(aOpened.mStorage),
+                                         MakeHooks(),
+                                         mStatus,
+                                         mLoop);
+  }
+
+  /** Tries to open the data folder again after a storage error, as at a restart
+   * of the process. Without it, the member would count as a voter and never
+   * vote. */
+  void ReopenStorageIfFailed(base::Time aNow)
+  {
+    if (!mStatus.mStorageFailed || mIsReopening || aNow < mNextReopen) {
+      return;
+    }
+    mNextReopen = aNow + kReopenInterval;
+    auto opened = ReopenDataFolder();
+    if (!opened) {
+      service::Log(LogEvent::StorageFailed,
+                   { { "message", opened.LastFailure().mMessage } });
+      return;
+    }
+    mIsReopening = true;
+    mCore->Stop();
+    // Runs after all events that refer to the stopped core.
+    mLoop.Post(
+      [this, folder = std::make_shared<OpenedDataFolder>(std::move(*opened))] {
+        mIsReopening = false;
+        mCore = MakeCore(std::move(*folder));
+        if (mOperatorServer) {
+          mOperatorServer->SetCore(*mCore);
+        }
+        mCore->Start();
+        service::Log(LogEvent::StorageReopened,
+                     { { "folder", mSettings.mDataFolder } });
+      });
+  }
+
+  /** Opens the data folder of this member. A folder that has lost its founding
+   * file is refused: with an empty log the member could vote twice. */
+  base::Outcome<OpenedDataFolder> ReopenDataFolder()
+  {
+    const auto hasFoundingFile = HasFoundingFile(*mFiles, mSettings);
+    if (!hasFoundingFile) {
+      return hasFoundingFile.LastFailure();
+    }
+    if (!*hasFoundingFile) {
+      return base::Failure{ base::Reason::StorageFailed,
+                            mSettings.mDataFolder + ": is empty" };
+    }
+    return OpenDataFolder(*mFiles, mSettings);
+  }
+
   static void LogRecovered(
     const coordination::consensus::RecoveredState& aRecovered)
   {
@@ -588,7 +643,10 @@
   service::ControlSettings mSettings; ///< as resolved from the data folder
   std::unique_ptr<state::FileSystem> mFiles;
   std::unique_ptr<PeerLinks> mPeers;
-  std::unique_ptr<ControlCore> mCore;
+  ControlStatus mStatus;
+  std::unique_ptr<ControlCore> mCore; ///< used by the decision thread only
+  base::Time mNextReopen{};
+  bool mIsReopening = false; ///< a new core is about to replace a stopped one
   std::unique_ptr<transport::LinkServer> mServer;
   std::unique_ptr<JoinLinks> mJoinLinks;
   std::unique_ptr<OperatorServer> mOperatorServer;
--- a/dogwooddrum/daemon/OperatorServer.cpp
+++ b/dogwooddrum/daemon/OperatorServer.cpp
@@ -45,6 +45,12 @@
   return true;
 }
 
+void
+OperatorServer::SetCore(ControlCore& aCore)
+{
+  mCore = &aCore;
+}
+
 void
 OperatorServer::Handle(const transport::ServerRequest& aRequest,
                        const transport::ServerResponder& aResponder)
--- a/dogwooddrum/daemon/OperatorServer.h
+++ b/dogwooddrum/daemon/OperatorServer.h
@@ -29,6 +29,8 @@
   /** Starts the server; calls are passed to aCore on the decision thread. */
   base::Outcome<bool> Listen(const transport::Address& aAddress,
                              ControlCore& aCore);
+  /** Passes later calls to aCore. */
+  void SetCore(ControlCore& aCore);
   /** Answers the call that waits for aReply. */
   void OnReply(const protocol::WorkloadReply& aReply);
   /** Answers all waiting calls with a response that leaves their outcome
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -183,14 +183,21 @@
       LogLevel::Error,
       "storage_failed",
       "storage failed: {message}",
-      "A write or sync failed; the member no longer votes or acknowledges.",
-      "Repair the disk and replace the member, see docs/OPERATIONS.md." },
+      "A write or sync failed, or the data folder could not be opened again "
+      "after that; the member does not vote or acknowledge meanwhile.",
+      "Repair the disk or free space; the member goes on by itself." },
     { LogEvent::SyncSlow,
       LogLevel::Warning,
       "sync_slow",
       "log sync took {duration_ms} ms",
       "The disk is slow; every commit waits for it.",
       "Check the disk and what else uses it." },
+    { LogEvent::StorageReopened,
+      LogLevel::Info,
+      "storage_reopened",
+      "data folder {folder} was opened again after a storage error",
+      "The member has recovered its log and votes again.",
+      "If it repeats, the disk still fails, see storage_failed." },
   };
 }
 
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -59,6 +59,7 @@
   LogCorrupt = 308,
   StorageFailed = 309,
   SyncSlow = 310,
+  StorageReopened = 316,
   // Jobs and configuration.
   JobEnded = 400,
   AttemptStarted = 401,
