Start without known members, and join through members that know the address

What callers saw: after a loss of all power, members with lost disks answer 503 no_leader for good, or no member starts.

Cause: a process found its group through the list in its settings alone. A platform writes this list from what serves at that moment: it may be empty, or name only processes whose disks are lost. With an empty list a daemon refused to start, also a member with a complete data folder. A member without its disk asked only the addresses of the list, although the other members link to its address.

Change: the lists may be empty. A process that waits to join also asks on all links that members have opened to it. A membership named by another process that waits to join, which is empty, no longer closes the links to the members.

--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -70,7 +70,7 @@
   workloads.mStopTime = aSettings.mStopTime;
   workloads.mRestoreTime = aSettings.mRestoreTime;
   workloads.mPolicies = aSettings.mPolicies;
-  if (!aSettings.mSeeds.empty()) {
+  if (aSettings.mSeeds) {
     options.mRepair.emplace();
     options.mRepair->mIntendedVoters = 2 * aSettings.mToleratedLosses + 1;
   }
@@ -136,7 +136,7 @@
 
   base::Outcome<bool> Start() override
   {
-    if (!mSettings.mSeeds.empty()) {
+    if (mSettings.mSeeds) {
       const auto resolved =
         ResolveMemberSettings(*mFiles, mContext.mSettings.mCommon, mSettings);
       if (!resolved) {
@@ -150,7 +150,7 @@
     if (!hasFoundingFile) {
       return hasFoundingFile.LastFailure();
     }
-    if (!*hasFoundingFile && mSettings.mSeeds.empty()) {
+    if (!*hasFoundingFile && !mSettings.mSeeds) {
       const auto checked = CheckNotVoter(
         *mContext.mNetwork, options, *mContext.mCounters, mSettings);
       if (!checked) {
@@ -316,7 +316,7 @@
     if (mOperatorServer) {
       mOperatorServer->Tick(aNow);
     }
-    if (!mSettings.mSeeds.empty()) {
+    if (mSettings.mSeeds) {
       JoinIfNeeded(aNow);
     }
   }
@@ -341,7 +341,7 @@
     }
     mNextJoin = aNow + kJoinInterval;
     std::vector<transport::Address> addresses;
-    for (const auto& seed : mSettings.mSeeds) {
+    for (const auto& seed : *mSettings.mSeeds) {
       addresses.push_back({ seed.mIp, mContext.mSettings.mCommon.mLinkPort });
     }
     for (const auto& member : mCore->CurrentMembership().mMembers) {
@@ -350,12 +350,21 @@
       }
     }
     mJoinLinks->RequestJoin(addresses, [this](const auto& aMembership) {
-      mLoop.Post([this, aMembership] {
-        if (mCore->CurrentMembership().mMembers.empty()) {
-          mPeers->Update(aMembership);
-        }
-      });
+      mLoop.Post([this, aMembership] { OnJoinReply(aMembership); });
     });
+    // The members may link to this process's address although none of theirs
+    // is known here.
+    const auto request = protocol::Encode(
+      protocol::JoinRequest{ mSettings.mMemberId, SelfAddress() });
+    for (const auto& [id, link] : mMemberLinks) {
+      link->Send(MessageType::JoinRequest, request);
+    }
+  }
+
+  /** Uses the membership that a member has named. */
+  void OnJoinReply(const coordination::consensus::Membership& aMembership)
+  {
+    mJoinLinks->AddKnownMembers(aMembership);
   }
 
   /** Returns a core that continues from the opened data folder. */
@@ -492,9 +501,7 @@
     events.mUp = [this](const transport::LinkPtr& aLink) {
       mContext.mMetrics->Add(service::Counter::LinksOpened);
       service::Log(LogEvent::LinkUp, { { "peer", aLink->Peer().mName } });
-      if (aLink->Peer().mRole != transport::PeerRole::Control) {
-        mLoop.Post([this, aLink] { mSessions[aLink->Id()] = aLink; });
-      }
+      mLoop.Post([this, aLink] { LinksOf(aLink)[aLink->Id()] = aLink; });
     };
     events.mRefused = [](const std::string& aAddress) {
       service::Log(LogEvent::LinkRefused,
@@ -505,12 +512,13 @@
       service::Log(LogEvent::LinkDown,
                    { { "peer", aLink->Peer().mName },
                      { "reason", transport::ToString(aReason) } });
-      if (aLink->Peer().mRole != transport::PeerRole::Control) {
-        mLoop.Post([this, id = aLink->Id()] {
-          mSessions.erase(id);
-          mCore->GetCoordinator().OnSessionClosed(SessionId(id), Now());
-        });
-      }
+      mLoop.Post([this, aLink] {
+        LinksOf(aLink).erase(aLink->Id());
+        if (aLink->Peer().mRole != transport::PeerRole::Control) {
+          mCore->GetCoordinator().OnSessionClosed(SessionId(aLink->Id()),
+                                                  Now());
+        }
+      });
     };
     events.mFrame = [this](const transport::LinkPtr& aLink,
                            const protocol::Frame& aFrame) {
@@ -526,6 +534,14 @@
     return events;
   }
 
+  /** Returns the table for a link, by the role of its peer. */
+  std::unordered_map<std::uint64_t, transport::LinkPtr>& LinksOf(
+    const transport::LinkPtr& aLink)
+  {
+    return aLink->Peer().mRole == transport::PeerRole::Control ? mMemberLinks
+                                                               : mSessions;
+  }
+
   /** Decodes the frame on the network thread and posts it to the decision
    * thread. Returns false if it cannot be decoded or the peer's role may not
    * send its type. */
@@ -553,6 +569,11 @@
                    aLink->Send(MessageType::JoinReply,
                                protocol::Encode(mCore->CurrentMembership()));
                  });
+      case MessageType::JoinReply:
+        return peer.mRole == PeerRole::Control &&
+               DecodeAndPost<coordination::consensus::Membership>(
+                 aFrame,
+                 [this](const auto& aMembership) { OnJoinReply(aMembership); });
       case MessageType::WorkloadRequest:
         return peer.mRole == PeerRole::Entry &&
                DecodeAndPost<protocol::WorkloadRequest>(
@@ -654,6 +675,8 @@
   base::Time mLeaderLastKnownAt{};
   /** Links of entries and agents; used by the decision thread only. */
   std::unordered_map<std::uint64_t, transport::LinkPtr> mSessions;
+  /** Links of control processes; used by the decision thread only. */
+  std::unordered_map<std::uint64_t, transport::LinkPtr> mMemberLinks;
   EventLoop mLoop;
   base::Time mHandoverStartedAt{};
   base::Time mLastTransferAt{};
--- a/dogwooddrum/daemon/DataFolder.cpp
+++ b/dogwooddrum/daemon/DataFolder.cpp
@@ -151,7 +151,7 @@
 {
   service::ControlSettings settings = aSettings;
   bool isSeed = false;
-  for (const auto& seed : settings.mSeeds) {
+  for (const auto& seed : *settings.mSeeds) {
     const service::Address address{ seed.mIp, aCommon.mLinkPort };
     isSeed = isSeed || seed.mIp == aCommon.mBindAddress;
     settings.mPeers.push_back({ SeedMemberId(seed.mIp), address });
--- a/dogwooddrum/daemon/DataFolder.h
+++ b/dogwooddrum/daemon/DataFolder.h
@@ -54,7 +54,8 @@
  * bootstraps the group. The id is the one on the disk if there is one. A seed
  * with bootstrap and an empty disk gets an id derived from its address, and its
  * data folder is initialized. Any other member gets a random id, with which it
- * must ask to join. Precondition: aSettings names seeds.
+ * must ask to join. Precondition: aSettings has a list of seeds, which may be
+ * empty.
  */
 base::Outcome<service::ControlSettings>
 ResolveMemberSettings(state::FileSystem& aFiles,
--- a/dogwooddrum/daemon/JoinLinks.cpp
+++ b/dogwooddrum/daemon/JoinLinks.cpp
@@ -38,12 +38,7 @@
     if (!membership) {
       return;
     }
-    {
-      const std::lock_guard<std::mutex> lock(knownMembers->mMutex);
-      for (const auto& member : membership->mMembers) {
-        knownMembers->mAddresses.insert(member.mAddress);
-      }
-    }
+    knownMembers->Add(*membership);
     aOnMembership(*membership);
   };
   auto client = std::make_unique<transport::LinkClient>(
@@ -82,6 +77,23 @@
   }
 }
 
+void
+JoinLinks::KnownMembers::Add(
+  const coordination::consensus::Membership& aMembership)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  for (const auto& member : aMembership.mMembers) {
+    mAddresses.insert(member.mAddress);
+  }
+}
+
+void
+JoinLinks::AddKnownMembers(
+  const coordination::consensus::Membership& aMembership)
+{
+  mKnownMembers->Add(aMembership);
+}
+
 void
 JoinLinks::CloseLinks()
 {
--- a/dogwooddrum/daemon/JoinLinks.h
+++ b/dogwooddrum/daemon/JoinLinks.h
@@ -37,6 +37,8 @@
    * not be among aAddresses, acts on a request, and requests expire. */
   void RequestJoin(const std::vector<transport::Address>& aAddresses,
                    const OnMembership& aOnMembership);
+  /** Sends later join requests to these members, too. */
+  void AddKnownMembers(const coordination::consensus::Membership& aMembership);
   /** Closes the links until the next RequestJoin. */
   void CloseLinks();
   void Stop();
@@ -56,6 +58,7 @@
   /** Addresses of members from replies, written by network threads. */
   struct KnownMembers
   {
+    void Add(const coordination::consensus::Membership& aMembership);
     std::mutex mMutex;
     std::set<std::string> mAddresses;
   };
--- a/dogwooddrum/service/Settings.cpp
+++ b/dogwooddrum/service/Settings.cpp
@@ -113,14 +113,19 @@
   }
   bool operator()(FieldAccessor<std::vector<Address>> aAccessor) const
   {
-    for (const std::string& part : SplitList(mText)) {
-      const auto address = ParseAddress(part);
-      if (!address) {
-        return false;
-      }
-      aAccessor(mSettings).push_back(*address);
+    const auto list = ParseAddresses();
+    if (list) {
+      aAccessor(mSettings) = *list;
     }
-    return IsCountAllowed(aAccessor(mSettings).size());
+    return list && IsCountAllowed(list->size());
+  }
+  bool operator()(FieldAccessor<OptionalAddressList> aAccessor) const
+  {
+    const auto list = ParseAddresses();
+    if (list) {
+      aAccessor(mSettings) = *list;
+    }
+    return list && IsCountAllowed(list->size());
   }
   bool operator()(FieldAccessor<std::vector<Peer>> aAccessor) const
   {
@@ -164,6 +169,18 @@
   template<typename Tag, typename Rep>
   static Rep RepresentationOf(base::StrongType<Tag, Rep>);
 
+  OptionalAddressList ParseAddresses() const
+  {
+    std::vector<Address> list;
+    for (const std::string& part : SplitList(mText)) {
+      const auto address = ParseAddress(part);
+      if (!address) {
+        return std::nullopt;
+      }
+      list.push_back(*address);
+    }
+    return list;
+  }
   std::optional<std::uint64_t> ParseNumberInRange() const
   {
     const auto value = ParseNumber(mText);
@@ -258,11 +275,16 @@
     }
     const bool isGiven = text.has_value();
     const std::string value = text.value_or(std::string(key.mDefault));
-    if (value.empty() && !key.mRequired && (!isGiven || key.mDefault.empty())) {
+    const bool isAbsent = value.empty() && !isGiven;
+    const bool isBlankDefault =
+      value.empty() && key.mDefault.empty() && !key.mRequired &&
+      !std::holds_alternative<FieldAccessor<OptionalAddressList>>(
+        key.mAccessor);
+    if (isBlankDefault || (isAbsent && !key.mRequired)) {
       continue;
     }
-    if (!std::visit(StoreValueVisitor{ key, value, aSettings },
-                    key.mAccessor)) {
+    if (isAbsent || !std::visit(StoreValueVisitor{ key, value, aSettings },
+                                key.mAccessor)) {
       const std::string allowed = AllowedValues(key);
       return InvalidSetting(aFile,
                             aSection,
@@ -303,7 +325,7 @@
     return missingFailure("common", "key_file");
   }
   const ControlSettings& control = aSettings.mControl;
-  if (common.mRole == Role::Control && control.mSeeds.empty()) {
+  if (common.mRole == Role::Control && !control.mSeeds) {
     if (control.mMemberId.Value() == 0) {
       return missingFailure("control", "member_id");
     }
@@ -363,7 +385,7 @@
       aFile, "common", "link_port", link, "another port than http_port");
   }
   const ControlSettings& control = aSettings.mControl;
-  if (!control.mSeeds.empty()) {
+  if (control.mSeeds) {
     return std::nullopt;
   }
   const auto self = std::find_if(
@@ -471,8 +493,8 @@
   return settings;
 }
 
-base::Outcome<Settings>
-LoadSettings(const std::string& aFile)
+base::Outcome<std::string>
+ReadSettingsFile(const std::string& aFile)
 {
   std::ifstream in(aFile, std::ios::binary);
   std::ostringstream text;
@@ -480,7 +502,15 @@
     return base::Failure{ base::Reason::InvalidRequest,
                           aFile + ": cannot be read, or is empty" };
   }
-  return ParseSettings(text.str(), aFile);
+  return text.str();
+}
+
+base::Outcome<Settings>
+LoadSettings(const std::string& aFile)
+{
+  const auto text = ReadSettingsFile(aFile);
+  return text ? ParseSettings(*text, aFile)
+              : base::Outcome<Settings>(text.LastFailure());
 }
 
 } // namespace dogwooddrum::service
--- a/dogwooddrum/service/Settings.h
+++ b/dogwooddrum/service/Settings.h
@@ -108,7 +108,9 @@
   std::uint32_t mInteractiveBorrowPercent = 0;
   std::uint32_t mFailuresToQuarantine = 0;
   base::Duration mQuarantineTime{};
-  std::vector<Address> mSeeds; ///< empty: mMemberId and mPeers define the group
+  /** None: mMemberId and mPeers define the group. Empty: no member was known
+   * when the file was written. */
+  std::optional<std::vector<Address>> mSeeds;
   bool mBootstrap = false;
   std::uint32_t mToleratedLosses = 1;
   std::optional<Address> mOperatorAddress;
@@ -153,6 +155,10 @@
 base::Outcome<Settings>
 ParseSettings(const std::string& aText, const std::string& aFile);
 
+/** Returns the content of a settings file. Thread safe. */
+base::Outcome<std::string>
+ReadSettingsFile(const std::string& aFile);
+
 /** Reads aFile and parses it with ParseSettings. Thread safe. */
 base::Outcome<Settings>
 LoadSettings(const std::string& aFile);
--- a/dogwooddrum/service/SettingsKeys.h
+++ b/dogwooddrum/service/SettingsKeys.h
@@ -14,6 +14,9 @@
 template<typename T>
 using FieldAccessor = T& (*)(Settings&);
 
+/** List that may be given and empty, which differs from absent. */
+using OptionalAddressList = std::optional<std::vector<Address>>;
+
 /** Accessor of a key's field; the alternative also determines its type. */
 using AnyFieldAccessor = std::variant<FieldAccessor<std::string>,
                                       FieldAccessor<bool>,
@@ -28,6 +31,7 @@
                                       FieldAccessor<Address>,
                                       FieldAccessor<std::optional<Address>>,
                                       FieldAccessor<std::vector<Address>>,
+                                      FieldAccessor<OptionalAddressList>,
                                       FieldAccessor<std::vector<Peer>>>;
 
 /** Definition of one key: its type, range, default and documentation. */
--- a/dogwooddrum/service/SettingsReference.cpp
+++ b/dogwooddrum/service/SettingsReference.cpp
@@ -49,8 +49,11 @@
   }
   std::string operator()(FieldAccessor<std::vector<Address>>) const
   {
-    return "1 to " + std::to_string(mKey.mMaximum) +
-           " of ip:port, separated by commas";
+    return DescribeAddresses();
+  }
+  std::string operator()(FieldAccessor<OptionalAddressList>) const
+  {
+    return DescribeAddresses();
   }
   std::string operator()(FieldAccessor<std::vector<Peer>>) const
   {
@@ -76,6 +79,11 @@
   }
 
 private:
+  std::string DescribeAddresses() const
+  {
+    return std::to_string(mKey.mMinimum) + " to " +
+           std::to_string(mKey.mMaximum) + " of ip:port, separated by commas";
+  }
   std::string DescribeLength() const
   {
     return "text of " + std::to_string(mKey.mMinimum) + " to " +
--- a/tests/error/SettingsRefused.cpp
+++ b/tests/error/SettingsRefused.cpp
@@ -48,6 +48,23 @@
   EXPECT_EQ(settings->mControl.mCompactionMovesPerMinute, 2U);
 }
 
+// Daemons refused lists that name no member, as a platform writes them while no
+// member serves.
+TEST(SettingsRefused, ListsOfMembersMayBeEmptyButNotAbsent)
+{
+  const auto control =
+    ParseSettings(kCommon + "[control]\nseeds =\ndata_folder = d\n", "f.ini");
+  ASSERT_TRUE(control) << control.LastFailure().mMessage;
+  ASSERT_TRUE(control->mControl.mSeeds);
+  EXPECT_TRUE(control->mControl.mSeeds->empty());
+  const std::string entry = "[common]\nrole = entry\nname = e\nregion = r\n"
+                            "zone = z\nkey_file = key\n[entry]\n";
+  const auto empty = ParseSettings(entry + "control_addresses =\n", "f.ini");
+  ASSERT_TRUE(empty) << empty.LastFailure().mMessage;
+  EXPECT_TRUE(empty->mEntry.mControlAddresses.empty());
+  ExpectRefused(entry, { "control_addresses", "the key is required" });
+}
+
 TEST(SettingsRefused, UnknownKeyNamesTheKnownOnes)
 {
   ExpectRefused(kCommon + kControl + "data_foldr = x\n",
