Read settings that change without a signal

What callers saw: a process that replaced a member never joined the group.

Cause: settings were read again on SIGHUP only, and control members ignored them even then, so that a process kept the list of members that was current before its start.

Change: while it serves, a daemon compares its settings file each second with what it has read, and applies a changed one. Control members use the new list of seeds.

Evidence: MemberDiscovery.SeedsThatChangeWithoutASignalAreRead failed before and passes.

--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -267,7 +267,14 @@
   }
 
   bool MayExitUndrained() override { return true; }
-  void Reload(const service::Settings&) override {}
+  void Reload(const service::Settings& aSettings) override
+  {
+    if (mSettings.mSeeds && aSettings.mControl.mSeeds) {
+      mLoop.Post([this, seeds = *aSettings.mControl.mSeeds] {
+        mSettings.mSeeds = seeds;
+      });
+    }
+  }
   std::size_t TasksInProgress() override { return 0; }
 
   void Stop() override
--- a/dogwooddrum/daemon/Daemon.cpp
+++ b/dogwooddrum/daemon/Daemon.cpp
@@ -20,8 +20,9 @@
 /** How often the main thread checks whether the role is ready or drained. No
  * request waits for this check. */
 constexpr base::Duration kPollInterval = base::Milliseconds(20);
-/** Longest wait for a signal while serving; a signal ends the wait at once. */
-constexpr base::Duration kSignalWait = base::Milliseconds(60000);
+/** How often the settings file is read while serving: it may change without a
+ * signal. */
+constexpr base::Duration kSettingsCheckInterval = base::Milliseconds(1000);
 
 int
 RefuseStart(const std::string& aMessage)
@@ -92,12 +93,16 @@
 class Process
 {
 public:
+  /** aSettingsText: content of the settings file that aContext was read from.
+   */
   Process(HostContext& aContext,
           const sigset_t& aSignals,
-          std::string aSettingsFile)
+          std::string aSettingsFile,
+          std::string aSettingsText)
     : mContext(aContext)
     , mSignals(aSignals)
     , mSettingsFile(std::move(aSettingsFile))
+    , mSettingsText(std::move(aSettingsText))
     , mHost(MakeHost(aContext))
   {
   }
@@ -179,12 +184,15 @@
       const int signal = WaitForSignal(
         mSignals,
         mLifeCycle.CurrentPhase() == Phase::Starting ? kPollInterval
-                                                     : kSignalWait);
-      if (signal == SIGHUP) {
-        Reload();
-      } else if (signal != 0) {
+                                                     : kSettingsCheckInterval);
+      if (signal != 0 && signal != SIGHUP) {
         return;
       }
+      const auto now = Now();
+      if (signal == SIGHUP || now >= mNextSettingsCheck) {
+        mNextSettingsCheck = now + kSettingsCheckInterval;
+        Reload(signal != SIGHUP);
+      }
       if (mLifeCycle.CurrentPhase() == Phase::Starting && mHost->IsReady() &&
           mLifeCycle.BecomeReady()) {
         service::Log(LogEvent::Ready,
@@ -194,10 +202,19 @@
     }
   }
 
-  /** Reads the settings file again. An invalid file changes nothing. */
-  void Reload()
+  /** Reads the settings file again. An invalid file changes nothing.
+   * aOnlyIfChanged: does nothing if the content is the same or unreadable, as
+   * while the file is being replaced. */
+  void Reload(bool aOnlyIfChanged)
   {
-    const auto settings = service::LoadSettings(mSettingsFile);
+    const auto text = service::ReadSettingsFile(mSettingsFile);
+    if (aOnlyIfChanged && (!text || *text == mSettingsText)) {
+      return;
+    }
+    mSettingsText = text ? *text : mSettingsText;
+    const auto settings =
+      text ? service::ParseSettings(*text, mSettingsFile)
+           : base::Outcome<service::Settings>(text.LastFailure());
     if (!settings) {
       service::Log(LogEvent::ReloadFailed,
                    { { "message", settings.LastFailure().mMessage } });
@@ -263,6 +280,8 @@
   HostContext& mContext;
   const sigset_t mSignals;
   const std::string mSettingsFile;
+  std::string mSettingsText; ///< as last read
+  base::Time mNextSettingsCheck{};
   LifeCycle mLifeCycle;
   std::unique_ptr<Host> mHost;
   std::unique_ptr<transport::HttpServer> mServer;
@@ -273,7 +292,10 @@
 int
 RunDaemon(const std::string& aSettingsFile, const Adapters& aAdapters)
 {
-  auto settings = service::LoadSettings(aSettingsFile);
+  const auto text = service::ReadSettingsFile(aSettingsFile);
+  const auto settings =
+    text ? service::ParseSettings(*text, aSettingsFile)
+         : base::Outcome<service::Settings>(text.LastFailure());
   if (!settings) {
     std::fprintf(
       stderr, "dogwooddrumd: %s\n", settings.LastFailure().mMessage.c_str());
@@ -313,7 +335,7 @@
   context.mMetrics = &metrics;
   context.mCounters = &counters;
   context.mAdapters = &aAdapters;
-  Process process(context, signals, aSettingsFile);
+  Process process(context, signals, aSettingsFile, *text);
   const int status = process.Run();
   network.Stop();
   return status;
