Let entries and agents find the group through processes outside it

What callers saw: an entry or agent whose settings name only a process that waits to join, or that starts while no member is known, never reaches a leader.

Cause: such a process redirects to nobody. Besides, an entry or agent keeps 16 addresses at most and ignored every further member, so that it lost the group once enough members had been replaced at other addresses.

Change: a process that waits to join redirects to the members that it has heard of; operators still get 503 from it. A link to a member that has left the group is used for a new member once 16 are kept.

Evidence: MemberDiscovery.EntriesFindTheGroupThroughLaterSettingsAndOutsiders failed before and passes. ReplacedMembers fails if a full list ignores further members, as the code before did.

--- a/dogwooddrum/daemon/ControlCore.cpp
+++ b/dogwooddrum/daemon/ControlCore.cpp
@@ -458,6 +458,12 @@
   candidates[aRequest.mAddress] = { aRequest.mMember, Now() };
 }
 
+void
+ControlCore::SetRedirectHint(const std::string& aAddress)
+{
+  mImpl->mCoordinator.SetLeader(base::MemberId(), aAddress);
+}
+
 const coordination::consensus::Membership&
 ControlCore::CurrentMembership() const
 {
--- a/dogwooddrum/daemon/ControlCore.h
+++ b/dogwooddrum/daemon/ControlCore.h
@@ -95,6 +95,9 @@
   bool IsVoter(base::MemberId aMember) const;
   /** Records a process that asks to join the group, for the next repair. */
   void OnJoinRequest(const protocol::JoinRequest& aRequest);
+  /** Redirects entries and agents to the member at aAddress. Precondition: this
+   * process is not a member, so that it has no leader to name. */
+  void SetRedirectHint(const std::string& aAddress);
   /** Returns the newest membership, committed or not. */
   const coordination::consensus::Membership& CurrentMembership() const;
   /** Returns the coordinator, which takes requests and reports. */
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -368,10 +368,15 @@
     }
   }
 
-  /** Uses the membership that a member has named. */
+  /** Uses the membership that a member has named. Other processes that wait to
+   * join name none. */
   void OnJoinReply(const coordination::consensus::Membership& aMembership)
   {
+    const auto& members = aMembership.mMembers;
     mJoinLinks->AddKnownMembers(aMembership);
+    if (!members.empty() && mCore->CurrentMembership().mMembers.empty()) {
+      mCore->SetRedirectHint(members[mNextHint++ % members.size()].mAddress);
+    }
   }
 
   /** Returns a core that continues from the opened data folder. */
@@ -680,6 +685,7 @@
   std::unique_ptr<OperatorServer> mOperatorServer;
   base::Time mNextJoin{};
   base::Time mLeaderLastKnownAt{};
+  std::size_t mNextHint = 0; ///< index of the next member to redirect to
   /** Links of entries and agents; used by the decision thread only. */
   std::unordered_map<std::uint64_t, transport::LinkPtr> mSessions;
   /** Links of control processes; used by the decision thread only. */
--- a/dogwooddrum/daemon/ControlLinks.cpp
+++ b/dogwooddrum/daemon/ControlLinks.cpp
@@ -1,6 +1,8 @@
 #include "dogwooddrum/daemon/ControlLinks.h"
 
+#include <algorithm>
 #include <mutex>
+#include <set>
 
 namespace dogwooddrum::daemon {
 
@@ -11,8 +13,8 @@
 /** Redirects that are followed without a delay. During an election members may
  * name each other, and requests would bounce between them without a pause. */
 constexpr unsigned kMaxImmediateRedirects = 2;
-/** Further members from redirects, replies and reloaded settings are
- * ignored. */
+/** Links kept at a time. A further member takes the place of one that has left
+ * the group. */
 constexpr std::size_t kMaxMembers = 16;
 
 /** One control member and the link to it. */
@@ -155,13 +157,51 @@
         return i;
       }
     }
-    if (mControlMembers.size() < kMaxMembers && !mStopped) {
+    if (mStopped) {
+      return std::nullopt;
+    }
+    if (mControlMembers.size() < kMaxMembers) {
       AddMember(aAddress);
       mControlMembers.back()->mClient->Start();
+    } else {
+      ReplaceMember(aAddress);
     }
     return std::nullopt;
   }
 
+  /** Uses the link to a member that is down and not in the newest list of the
+   * group for aAddress. Does nothing if there is none. Precondition: mMutex is
+   * held. */
+  void ReplaceMember(const transport::Address& aAddress)
+  {
+    const auto it =
+      std::find_if(mControlMembers.begin(),
+                   mControlMembers.end(),
+                   [this](const std::unique_ptr<ControlMember>& aMember) {
+                     const auto& address = aMember->mAddress;
+                     return !aMember->mUp &&
+                            mGroup.count(address.mHost + ":" +
+                                         std::to_string(address.mPort)) == 0;
+                   });
+    if (it != mControlMembers.end()) {
+      (*it)->mAddress = aAddress;
+      (*it)->mMember = 0;
+      (*it)->mClient->Redirect(aAddress);
+    }
+  }
+
+  /** Opens links to members whose addresses are new. Precondition: mMutex is
+   * held. */
+  void AddMembers(const std::vector<std::string>& aAddresses)
+  {
+    for (const auto& text : aAddresses) {
+      const auto address = transport::ParseAddress(text);
+      if (address) {
+        FindOrAdd(*address);
+      }
+    }
+  }
+
   void OnNotLeader(RouteId aRoute, const protocol::NotLeader& aReply)
   {
     RouteId route = 0;
@@ -219,7 +259,8 @@
   /** Route for which a delayed selection is scheduled. */
   RouteId mRedirectedRoute = 0;
   std::optional<std::size_t> mLeaderHint;
-  unsigned mRedirectCount = 0; ///< since a member last answered as the leader
+  unsigned mRedirectCount = 0;  ///< since a member last answered as the leader
+  std::set<std::string> mGroup; ///< newest list of the group's addresses
   bool mStopped = false;
 };
 
@@ -295,11 +336,16 @@
 ControlLinks::AddMembers(const std::vector<std::string>& aAddresses)
 {
   const std::lock_guard<std::mutex> lock(mImpl->mMutex);
-  for (const auto& text : aAddresses) {
-    const auto address = transport::ParseAddress(text);
-    if (address) {
-      mImpl->FindOrAdd(*address);
-    }
+  mImpl->AddMembers(aAddresses);
+}
+
+void
+ControlLinks::SetGroup(const std::vector<std::string>& aAddresses)
+{
+  const std::lock_guard<std::mutex> lock(mImpl->mMutex);
+  if (!aAddresses.empty()) {
+    mImpl->mGroup = { aAddresses.begin(), aAddresses.end() };
+    mImpl->AddMembers(aAddresses);
   }
 }
 
--- a/dogwooddrum/daemon/ControlLinks.h
+++ b/dogwooddrum/daemon/ControlLinks.h
@@ -58,6 +58,9 @@
   void OnNotLeader(RouteId aRoute, const protocol::NotLeader& aReply);
   /** Opens links to members whose addresses are new. */
   void AddMembers(const std::vector<std::string>& aAddresses);
+  /** Records all members of the group, as the leader names them, and opens
+   * links to those whose addresses are new. An empty list has no effect. */
+  void SetGroup(const std::vector<std::string>& aAddresses);
   /** Records that the member behind aRoute answered as the leader. */
   void OnLeaderAnswered(RouteId aRoute);
 
--- a/dogwooddrum/daemon/OperatorServer.cpp
+++ b/dogwooddrum/daemon/OperatorServer.cpp
@@ -86,7 +86,7 @@
   if (!mCore->Status().mIsLeaderReady) {
     const auto leader =
       transport::ParseAddress(mCore->GetCoordinator().LeaderAddress());
-    if (leader) {
+    if (leader && mCore->Status().mLeaderId != 0) {
       Answer(call,
              mProtocol.Redirect({ leader->mHost, mPort }, aRequest),
              "redirected");
--- a/dogwooddrum/daemon/WorkloadAgentHost.cpp
+++ b/dogwooddrum/daemon/WorkloadAgentHost.cpp
@@ -347,7 +347,7 @@
       auto orders = protocol::Decode<protocol::WorkerOrders>(aFrame.mPayload);
       if (orders) {
         mLinks->OnLeaderAnswered(aRoute);
-        mLinks->AddMembers(orders->mMembers);
+        mLinks->SetGroup(orders->mMembers);
         mLoop.Post([this, received = std::move(*orders)] {
           const std::lock_guard<std::mutex> lock(mMutex);
           mAgent.OnOrders(received, Now());
--- a/dogwooddrum/daemon/WorkloadEntryHost.cpp
+++ b/dogwooddrum/daemon/WorkloadEntryHost.cpp
@@ -398,7 +398,7 @@
       auto reply = protocol::Decode<WorkloadReply>(aFrame.mPayload);
       if (reply) {
         mLinks->OnLeaderAnswered(aRoute);
-        mLinks->AddMembers(reply->mMembers);
+        mLinks->SetGroup(reply->mMembers);
         mLoop.Post([this, received = std::move(*reply)] {
           mLastReplyAt = Now();
           if (mCatalogReads.count(received.mId) > 0) {
