Log on what proof a run's end was recorded, and what ends an incarnation

Cause: two runs of one task ended as done on two targets, and the logs did not tell why the leader had counted the first as over. run_ended named the end only; the agent did not log which message of the target had ended an incarnation, and dropped outdated messages silently.

Change: run_ended has the proof (listed by the target, never ran, target gone with its successor, lease expired with the last grant), the agent, its incarnation, the report's sequence, the target's start and the leader's term. The agent logs incarnation_ended, and announcement_dropped at most once a second. WorkerAgent::OnAnnounced decides as before; its conditions moved to WhyDrops, which the log uses too.

--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -68,6 +68,16 @@
   base::RequestId mRequest;
 };
 
+/** How the leader knows that a run has ended, and the report that carried it;
+ * for the log. */
+struct EndProof
+{
+  std::string mText;
+  std::string mAgentName;   ///< empty: no report
+  base::Incarnation mAgent; ///< of the report
+  std::uint64_t mReportSequence = 0;
+};
+
 /** The state of one leadership. */
 struct LeaderContext
 {
@@ -154,7 +164,8 @@
 ProposeEnd(LeaderContext& aLeader,
            const RunId& aRun,
            RunEnd aEnd,
-           const std::string& aCheckpoint);
+           const std::string& aCheckpoint,
+           const EndProof& aProof);
 /** Marks a run to be stopped, which puts a stop into its worker's orders.
  * aReason: for the log. */
 void
--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -43,10 +43,9 @@
 {
 }
 
-bool
-WorkerAgent::OnAnnounced(const protocol::TargetInfo& aTargetInfo,
-                         std::uint64_t aSequence,
-                         base::Time aNow)
+const char*
+WorkerAgent::WhyDrops(const protocol::TargetInfo& aTargetInfo,
+                      std::uint64_t aSequence) const
 {
   const auto& incarnation = aTargetInfo.mTargetIncarnation;
   const bool isPast = std::any_of(
@@ -54,12 +53,39 @@
     mEndedIncarnations.end(),
     [&](const auto& aPast) { return aPast.mTargetIncarnation == incarnation; });
   if (isPast) {
-    return false;
+    return "this incarnation has ended";
   }
   if (mTarget && mTarget->mTargetIncarnation == incarnation) {
-    if (aSequence <= mAnnounceSequence) {
-      return false;
-    }
+    return aSequence <= mAnnounceSequence ? "a newer message has arrived"
+                                          : nullptr;
+  }
+  if (mTarget && incarnation.mStartMs < mTarget->mTargetIncarnation.mStartMs) {
+    return "a later incarnation is present";
+  }
+  return nullptr;
+}
+
+const char*
+WorkerAgent::WhyDropsLeft(const std::string& aInstance) const
+{
+  if (!mTarget) {
+    return "no target is present";
+  }
+  return mTarget->mTargetIncarnation.mInstance == aInstance
+           ? nullptr
+           : "another instance is present";
+}
+
+bool
+WorkerAgent::OnAnnounced(const protocol::TargetInfo& aTargetInfo,
+                         std::uint64_t aSequence,
+                         base::Time aNow)
+{
+  if (WhyDrops(aTargetInfo, aSequence) != nullptr) {
+    return false; // a delayed or repeated message
+  }
+  const auto& incarnation = aTargetInfo.mTargetIncarnation;
+  if (mTarget && mTarget->mTargetIncarnation == incarnation) {
     const bool changed = !HasSameInfo(*mTarget, aTargetInfo);
     mAnnounceSequence = aSequence;
     mAnnouncedAt = aNow;
@@ -69,9 +95,6 @@
     mTarget->mLeaving = mTarget->mLeaving || wasLeaving;
     return changed;
   }
-  if (mTarget && incarnation.mStartMs < mTarget->mTargetIncarnation.mStartMs) {
-    return false; // a delayed message of an earlier incarnation
-  }
   ResetTarget();
   mTarget = aTargetInfo;
   mAnnounceSequence = aSequence;
@@ -86,7 +109,7 @@
 void
 WorkerAgent::OnLeft(const std::string& aInstance)
 {
-  if (mTarget && mTarget->mTargetIncarnation.mInstance == aInstance) {
+  if (WhyDropsLeft(aInstance) == nullptr) {
     ResetTarget();
   }
 }
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -72,6 +72,12 @@
   bool OnAnnounced(const protocol::TargetInfo& aTargetInfo,
                    std::uint64_t aSequence,
                    base::Time aNow);
+  /** Returns why OnAnnounced ignores this announcement as outdated, or null.
+   */
+  const char* WhyDrops(const protocol::TargetInfo& aTargetInfo,
+                       std::uint64_t aSequence) const;
+  /** Returns why OnLeft ignores this instance, or null. */
+  const char* WhyDropsLeft(const std::string& aInstance) const;
   /** Handles the end of the instance's present incarnation. */
   void OnLeft(const std::string& aInstance);
   /** Replaces the orders by newer ones of the leader; older ones are ignored.
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -23,11 +23,52 @@
          aOptions.mLeaseMargin;
 }
 
+EndProof
+MakeProof(const protocol::WorkerReport& aReport, std::string aText)
+{
+  return {
+    std::move(aText), aReport.mAgentName, aReport.mAgent, aReport.mSequence
+  };
+}
+
+/** Returns the proof of an end by a missing renewal; names the last report. */
+EndProof
+MakeProof(const Worker& aWorker, std::string aText)
+{
+  return { std::move(aText),
+           aWorker.mAgentName,
+           aWorker.mAgentIncarnation,
+           aWorker.mReportSequence };
+}
+
+std::string
+FormatAge(const LeaderContext& aLeader, base::Time aTime)
+{
+  return std::to_string(base::ToMilliseconds(aLeader.mNow - aTime)) + " ms ago";
+}
+
+std::string
+FormatGone(const TargetIncarnation* aNext)
+{
+  return aNext == nullptr ? "target gone: left"
+                          : "target gone: replaced by " + aNext->mInstance +
+                              "/" + std::to_string(aNext->mStartMs);
+}
+
+std::string
+FormatListed(const protocol::EndedTask& aEnded)
+{
+  return aEnded.mEnd == RunEnd::NeverRan
+           ? "never ran: " + aEnded.mMessage
+           : "listed by the target, number " + std::to_string(aEnded.mNumber);
+}
+
 /** Proposes aEnd for all open runs of an incarnation that has ended. */
 void
 EndAllRuns(LeaderContext& aLeader,
            const TargetIncarnation& aTargetIncarnation,
-           RunEnd aEnd)
+           RunEnd aEnd,
+           const EndProof& aProof)
 {
   std::vector<std::pair<RunId, std::string>> ends;
   for (const auto& [run, open] : aLeader.mRuns) {
@@ -37,7 +78,7 @@
     }
   }
   for (const auto& [run, checkpoint] : ends) {
-    ProposeEnd(aLeader, run, aEnd, checkpoint);
+    ProposeEnd(aLeader, run, aEnd, checkpoint, aProof);
   }
 }
 
@@ -82,12 +123,16 @@
 void
 RemoveEndedWorker(LeaderContext& aLeader,
                   const TargetIncarnation& aTargetIncarnation,
-                  const TargetIncarnation* aNext)
+                  const TargetIncarnation* aNext,
+                  const protocol::WorkerReport& aReport)
 {
   if (aNext != nullptr && aNext->mInstance == aTargetIncarnation.mInstance) {
     StopRunsInNextIncarnation(aLeader, aTargetIncarnation, *aNext);
   } else {
-    EndAllRuns(aLeader, aTargetIncarnation, RunEnd::TargetGone);
+    EndAllRuns(aLeader,
+               aTargetIncarnation,
+               RunEnd::TargetGone,
+               MakeProof(aReport, FormatGone(aNext)));
   }
   const auto it = aLeader.mWorkers.find(aTargetIncarnation);
   if (it == aLeader.mWorkers.end()) {
@@ -140,7 +185,7 @@
   auto& known = aLeader.mTargetByAgent[aReport.mAgentName];
   if (known != incarnation && !known.mInstance.empty()) {
     if (incarnation.mStartMs >= known.mStartMs) {
-      RemoveEndedWorker(aLeader, known, &incarnation);
+      RemoveEndedWorker(aLeader, known, &incarnation, aReport);
     } else if (aLeader.mWorkers.count(known) > 0) {
       return nullptr;
     }
@@ -235,7 +280,11 @@
     if (isNumbered) {
       aWorker.mPendingEnds.insert(ended.mRun);
     }
-    ProposeEnd(aLeader, ended.mRun, ended.mEnd, ended.mCheckpoint);
+    ProposeEnd(aLeader,
+               ended.mRun,
+               ended.mEnd,
+               ended.mCheckpoint,
+               MakeProof(aReport, FormatListed(ended)));
   }
   if (aWorker.mPendingEnds.empty() &&
       aWorker.mAcknowledged != aWorker.mLastProposedEnd) {
@@ -247,14 +296,20 @@
  * would count as lost with the target, and their tasks would run again. */
 void
 ProcessEndsOfIncarnation(LeaderContext& aLeader,
-                         const protocol::EndedIncarnation& aPast)
+                         const protocol::EndedIncarnation& aPast,
+                         const protocol::WorkerReport& aReport)
 {
   for (const auto& ended : aPast.mEnded) {
     const auto it = aLeader.mRuns.find(ended.mRun);
     if (it != aLeader.mRuns.end() &&
         it->second.mTarget == aPast.mTargetIncarnation &&
         it->second.mCommitted) {
-      ProposeEnd(aLeader, ended.mRun, ended.mEnd, ended.mCheckpoint);
+      ProposeEnd(
+        aLeader,
+        ended.mRun,
+        ended.mEnd,
+        ended.mCheckpoint,
+        MakeProof(aReport, FormatListed(ended) + ", before it was gone"));
     }
   }
 }
@@ -329,7 +384,8 @@
 ProposeEnd(LeaderContext& aLeader,
            const RunId& aRun,
            RunEnd aEnd,
-           const std::string& aCheckpoint)
+           const std::string& aCheckpoint,
+           const EndProof& aProof)
 {
   const auto it = aLeader.mRuns.find(aRun);
   if (it == aLeader.mRuns.end() || it->second.mEnding) {
@@ -341,7 +397,13 @@
            { { "task", ToString(aRun.mTask) },
              { "run", std::to_string(aRun.mRun.Value()) },
              { "target", it->second.mTarget.mInstance },
+             { "target_start_ms", std::to_string(it->second.mTarget.mStartMs) },
              { "end", ToString(aEnd) },
+             { "proof", aProof.mText },
+             { "agent", aProof.mAgentName },
+             { "agent_incarnation", std::to_string(aProof.mAgent.Value()) },
+             { "report_sequence", std::to_string(aProof.mReportSequence) },
+             { "term", std::to_string(aLeader.mTerm.Value()) },
              { "ran_ms",
                std::to_string(base::ToMilliseconds(aLeader.mNow -
                                                    it->second.mStartedAt)) } });
@@ -374,11 +436,12 @@
              const protocol::WorkerReport& aReport)
 {
   for (const protocol::EndedIncarnation& past : aReport.mEndedIncarnations) {
-    ProcessEndsOfIncarnation(aLeader, past);
+    ProcessEndsOfIncarnation(aLeader, past, aReport);
     RemoveEndedWorker(aLeader,
                       past.mTargetIncarnation,
                       aReport.mTarget ? &aReport.mTarget->mTargetIncarnation
-                                      : nullptr);
+                                      : nullptr,
+                      aReport);
   }
   if (!aReport.mTarget) {
     return;
@@ -426,7 +489,12 @@
                WorkloadEvent::Kind::WorkerLost,
                { { "target", incarnation.mInstance },
                  { "agent", worker.mAgentName } });
-      EndAllRuns(aLeader, incarnation, RunEnd::Lapsed);
+      EndAllRuns(aLeader,
+                 incarnation,
+                 RunEnd::Lapsed,
+                 MakeProof(worker,
+                           "lease expired: last granted " +
+                             FormatAge(aLeader, worker.mLastGrant)));
       worker.mReportedRuns.clear(); // no run outlasts its lease
       aLeader.mDecisionDue = true;
     }
@@ -448,7 +516,15 @@
     }
   }
   for (const TargetIncarnation& incarnation : unleased) {
-    EndAllRuns(aLeader, incarnation, RunEnd::Lapsed);
+    const auto worker = aLeader.mWorkers.find(incarnation);
+    const std::string text = "lease expired: none granted since the election " +
+                             FormatAge(aLeader, aLeader.mLeadingSince);
+    EndAllRuns(aLeader,
+               incarnation,
+               RunEnd::Lapsed,
+               worker == aLeader.mWorkers.end()
+                 ? EndProof{ text, "", base::Incarnation(), 0 }
+                 : MakeProof(worker->second, text));
   }
 }
 
--- a/dogwooddrum/daemon/WorkloadAgentHost.cpp
+++ b/dogwooddrum/daemon/WorkloadAgentHost.cpp
@@ -4,6 +4,7 @@
 #include "dogwooddrum/daemon/ControlLinks.h"
 #include "dogwooddrum/daemon/EventLoop.h"
 #include "dogwooddrum/daemon/Host.h"
+#include "dogwooddrum/daemon/LogLimit.h"
 #include "dogwooddrum/protocol/Codec.h"
 #include "dogwooddrum/service/LogEvents.h"
 
@@ -91,6 +92,16 @@
   return base::Incarnation(draw(device));
 }
 
+/** Returns the state that a target's message announces. */
+const char*
+StateOf(const Announcement& aAnnounced)
+{
+  if (aAnnounced.mHasLeft) {
+    return "gone";
+  }
+  return aAnnounced.mTargetInfo.mLeaving ? "leaving" : "ready";
+}
+
 /** A thread that makes blocking calls to the target, one at a time. */
 class CallThread
 {
@@ -314,24 +325,23 @@
       mAgent.OnLeft(aAnnounced.mTargetInfo.mTargetIncarnation.mInstance);
     } else {
       changed =
+    LogIfDropped(aAnnounced, Now());
+    const auto* target = mAgent.Target();
+    const auto before = target == nullptr ? protocol::TargetIncarnation()
+                                          : target->mTargetIncarnation;
         mAgent.OnAnnounced(aAnnounced.mTargetInfo, aAnnounced.mSequence, Now());
     }
     if (!changed) {
       return;
     }
-    const char* state = "ready";
-    if (aAnnounced.mHasLeft) {
-      state = "gone";
-    } else if (aAnnounced.mTargetInfo.mLeaving) {
-      state = "leaving";
-    }
+    LogIfEnded(aAnnounced, before);
     service::Log(
       LogEvent::TargetAnnounced,
       { { "target", aAnnounced.mTargetInfo.mTargetIncarnation.mInstance },
         { "address",
           aAnnounced.mAddress.mHost + ":" +
             std::to_string(aAnnounced.mAddress.mPort) },
-        { "state", state } });
+        { "state", StateOf(aAnnounced) } });
     if (!aAnnounced.mHasLeft) {
       mRenewalThread.SetAddress(aAnnounced.mAddress);
       mOrderThread.SetAddress(aAnnounced.mAddress);
@@ -343,6 +353,48 @@
 
   void OnFrame(RouteId aRoute, const protocol::Frame& aFrame)
   {
+  /** Logs that the agent ignores an announcement. Precondition: mMutex is
+   * held. */
+  void LogIfDropped(const Announcement& aAnnounced, base::Time aNow)
+  {
+    const auto& incarnation = aAnnounced.mTargetInfo.mTargetIncarnation;
+    const char* reason =
+      aAnnounced.mHasLeft
+        ? mAgent.WhyDropsLeft(incarnation.mInstance)
+        : mAgent.WhyDrops(aAnnounced.mTargetInfo, aAnnounced.mSequence);
+    if (reason != nullptr && mDroppedLimit.Take(aNow)) {
+      service::Log(LogEvent::AnnouncementDropped,
+                   { { "message", StateOf(aAnnounced) },
+                     { "target", incarnation.mInstance },
+                     { "start_ms", incarnation.mStartMs },
+                     { "sequence", aAnnounced.mSequence },
+                     { "reason", reason } });
+    }
+  }
+
+  /** Logs that a message has ended the incarnation aBefore. Precondition:
+   * mMutex is held. */
+  void LogIfEnded(const Announcement& aAnnounced,
+                  const protocol::TargetIncarnation& aBefore) const
+  {
+    const auto* target = mAgent.Target();
+    if (aBefore.mInstance.empty() ||
+        (target != nullptr && target->mTargetIncarnation == aBefore)) {
+      return;
+    }
+    service::Log(
+      LogEvent::IncarnationEnded,
+      { { "target", aBefore.mInstance },
+        { "start_ms", aBefore.mStartMs },
+        { "message", StateOf(aAnnounced) },
+        { "sequence", aAnnounced.mSequence },
+        { "next",
+          target == nullptr
+            ? std::string("none")
+            : target->mTargetIncarnation.mInstance + "/" +
+                std::to_string(target->mTargetIncarnation.mStartMs) } });
+  }
+
     if (aFrame.mType == MessageType::WorkerOrders) {
       auto orders = protocol::Decode<protocol::WorkerOrders>(aFrame.mPayload);
       if (orders) {
@@ -491,13 +543,14 @@
   const service::AgentSettings& mSettings;
   const TargetProtocol& mProtocol;
   const base::Incarnation mIncarnation = MakeRandomIncarnation();
-  std::mutex mMutex; ///< guards mAgent and mNextReportAt
+  std::mutex mMutex; ///< guards the three members below
   WorkerAgent mAgent;
   base::Time mNextReportAt{};
   std::unique_ptr<ControlLinks> mLinks;
   std::unique_ptr<transport::HttpServer> mServer;
   EventLoop mLoop;
   CallThread mRenewalThread;
+  LogLimit mDroppedLimit;
   CallThread mOrderThread;
   std::atomic<bool> mHasOrders{ false };
   std::atomic<std::size_t> mRunning{ 0 };
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -362,7 +362,9 @@
       LogLevel::Info,
       "run_ended",
       "task {task} run {run} at {target} ended: {end}",
-      "The run has ended; its end is being stored.",
+      "The run has ended; its end is being stored. The field proof tells how "
+      "the leader knows it, agent, agent_incarnation and report_sequence name "
+      "the report that carried it.",
       "For failed ends see the target." },
     { LogEvent::WorkloadEnded,
       LogLevel::Info,
@@ -376,6 +378,22 @@
       "target {target} of {agent} accepts work for {pool} on rack {rack}",
       "A target was reported to this leader.",
       "Nothing." },
+    { LogEvent::IncarnationEnded,
+      LogLevel::Info,
+      "incarnation_ended",
+      "target {target} started at {start_ms} has ended: {message} with "
+      "sequence {sequence}",
+      "A message of the target ended this incarnation at the agent; gone "
+      "has no sequence. The field next names the present incarnation.",
+      "Nothing." },
+    { LogEvent::AnnouncementDropped,
+      LogLevel::Info,
+      "announcement_dropped",
+      "{message} of target {target} with sequence {sequence} dropped: "
+      "{reason}",
+      "A message of a target was outdated and is ignored. At most once a "
+      "second.",
+      "Nothing." },
     { LogEvent::WorkerLeft,
       LogLevel::Info,
       "worker_left",
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -87,6 +87,8 @@
   RunStarted = 603,
   RunStopped = 604,
   RunEnded = 605,
+  IncarnationEnded = 513,
+  AnnouncementDropped = 514,
   WorkloadEnded = 606,
   WorkerJoined = 607,
   WorkerLeft = 608,
