Log and measure how long a process is without a route to a leader

Cause: an entry or agent that reached no leader logged nothing but its lost links, so that nobody saw since when, and whether members redirected it in circles.

Change: no_route, at most each second after the first second, names the known members with the state of their links and the last redirect. ControlLinks selects routes as before.

--- a/dogwooddrum/daemon/ControlLinks.cpp
+++ b/dogwooddrum/daemon/ControlLinks.cpp
@@ -1,5 +1,8 @@
 #include "dogwooddrum/daemon/ControlLinks.h"
 
+#include "dogwooddrum/daemon/Clock.h"
+#include "dogwooddrum/daemon/LogLimit.h"
+
 #include <mutex>
 
 namespace dogwooddrum::daemon {
@@ -15,6 +18,13 @@
  * ignored. */
 constexpr std::size_t kMaxMembers = 16;
 
+/** Time after a NotLeader in which the route leads to no leader. Longer than
+ * the interval at which members without a leader repeat it, since each change
+ * of the route is followed by a report or poll. An agent without a target gets
+ * no answer from the leader that would end the state earlier. */
+constexpr base::Duration kRedirectValidity = base::Milliseconds(500);
+constexpr base::Duration kLongWithoutRoute = base::Milliseconds(1000);
+
 /** One control member and the link to it. */
 struct ControlMember
 {
@@ -86,6 +96,7 @@
         return;
       }
       route = SelectMember(aIndex);
+      mRouteOpenedAt = Now();
     }
     mEvents.mRouteChanged(route);
   }
@@ -96,11 +107,15 @@
     {
       const std::lock_guard<std::mutex> lock(mMutex);
       mControlMembers[aIndex]->mUp = false;
+      mWithoutRouteSince = ContinuingSince(Now());
       if (aIndex != mCurrentIndex || mCurrentRoute == 0) {
         return;
       }
       mCurrentRoute = 0;
       route = SelectNextMember();
+      if (route == 0 && !mWithoutRouteSince) {
+        mWithoutRouteSince = Now();
+      }
     }
     if (route != 0) {
       mEvents.mRouteChanged(route);
@@ -172,6 +187,7 @@
         return;
       }
       ++mRedirectCount;
+      RecordRedirect(aReply, Now());
       const auto leader = FindLeader(aReply);
       if (leader && *leader != mCurrentIndex && mControlMembers[*leader]->mUp &&
           mRedirectCount <= kMaxImmediateRedirects) {
@@ -190,6 +206,40 @@
     });
   }
 
+  /** Precondition: mMutex is held. */
+  void RecordRedirect(const protocol::NotLeader& aReply, base::Time aNow)
+  {
+    mWithoutRouteSince = ContinuingSince(aNow);
+    if (!mWithoutRouteSince) {
+      mWithoutRouteSince = aNow;
+    }
+    mRedirectedAt = aNow;
+    mNotLeaderAt = aNow;
+    mLastRedirect = aReply.mLeader.Value() == 0
+                      ? "no leader"
+                      : "member " + std::to_string(aReply.mLeader.Value()) +
+                          " at " + aReply.mLeaderAddress;
+  }
+
+  /** Returns since when there has been no route to a leader; none if there is
+   * one. Precondition: mMutex is held. */
+  std::optional<base::Time> WithoutRouteSince(base::Time aNow) const
+  {
+    const bool isRedirected =
+      mNotLeaderAt && aNow - *mNotLeaderAt < kRedirectValidity;
+    return mCurrentRoute == 0 || isRedirected ? mWithoutRouteSince
+                                              : std::nullopt;
+  }
+
+  /** As WithoutRouteSince, but a route that was opened a moment ago ends the
+   * state only if no NotLeader follows. Precondition: mMutex is held. */
+  std::optional<base::Time> ContinuingSince(base::Time aNow) const
+  {
+    const bool isNewRoute =
+      mRouteOpenedAt && aNow - *mRouteOpenedAt < kRedirectValidity;
+    return isNewRoute ? mWithoutRouteSince : WithoutRouteSince(aNow);
+  }
+
   void SelectAfterRedirect(RouteId aRoute)
   {
     RouteId route = 0;
@@ -221,6 +271,13 @@
   std::optional<std::size_t> mLeaderHint;
   unsigned mRedirectCount = 0; ///< since a member last answered as the leader
   bool mStopped = false;
+  // For Status; no selection uses them.
+  std::optional<base::Time> mWithoutRouteSince; ///< may have ended since
+  std::optional<base::Time> mNotLeaderAt;   ///< newest without a later answer
+  std::optional<base::Time> mRouteOpenedAt; ///< when no link was open before
+  std::optional<base::Time> mRedirectedAt;
+  std::string mLastRedirect;
+  LogLimit mWithoutRouteLimit;
 };
 
 ControlLinks::ControlLinks(transport::Network& aNetwork,
@@ -246,6 +303,7 @@
 ControlLinks::Start()
 {
   const std::lock_guard<std::mutex> lock(mImpl->mMutex);
+  mImpl->mWithoutRouteSince = Now();
   for (const auto& control : mImpl->mControlMembers) {
     control->mClient->Start();
   }
@@ -309,7 +367,68 @@
   const std::lock_guard<std::mutex> lock(mImpl->mMutex);
   if (aRoute == mImpl->mCurrentRoute) {
     mImpl->mRedirectCount = 0;
+    mImpl->mWithoutRouteSince.reset();
+    mImpl->mNotLeaderAt.reset();
+  }
+}
+
+RouteStatus
+ControlLinks::Status(base::Time aNow) const
+{
+  const std::lock_guard<std::mutex> lock(mImpl->mMutex);
+  RouteStatus status;
+  const auto since = mImpl->WithoutRouteSince(aNow);
+  if (since && *since < aNow) {
+    status.mWithoutRoute = aNow - *since;
+  }
+  for (std::size_t i = 0; i < mImpl->mControlMembers.size(); ++i) {
+    const auto& control = *mImpl->mControlMembers[i];
+    status.mMembers.push_back(
+      { control.mAddress.mHost + ":" + std::to_string(control.mAddress.mPort),
+        control.mMember,
+        control.mUp,
+        mImpl->mCurrentRoute != 0 && i == mImpl->mCurrentIndex });
+  }
+  status.mLastRedirect = mImpl->mLastRedirect;
+  status.mRedirectedAt = mImpl->mRedirectedAt;
+  return status;
+}
+
+void
+ControlLinks::LogIfWithoutRoute(base::Time aNow)
+{
+  {
+    const std::lock_guard<std::mutex> lock(mImpl->mMutex);
+    const auto since = mImpl->WithoutRouteSince(aNow);
+    if (!since || aNow - *since <= kLongWithoutRoute ||
+        !mImpl->mWithoutRouteLimit.Take(aNow)) {
+      return;
+    }
+  }
+  service::Log(service::LogEvent::NoRoute, DescribeRoute(Status(aNow), aNow));
+}
+
+std::vector<service::LogField>
+DescribeRoute(const RouteStatus& aStatus, base::Time aNow)
+{
+  std::string members;
+  for (const auto& member : aStatus.mMembers) {
+    members += (members.empty() ? "" : "; ") + member.mAddress;
+    if (member.mMember != 0) {
+      members += " member " + std::to_string(member.mMember);
+    }
+    members += member.mIsOpen ? " link open" : " link closed";
+    members += member.mIsSelected ? " selected" : "";
   }
+  const std::string redirect =
+    aStatus.mRedirectedAt
+      ? aStatus.mLastRedirect + ", " +
+          std::to_string(base::ToMilliseconds(aNow - *aStatus.mRedirectedAt)) +
+          " ms ago"
+      : "none";
+  return { { "for_ms", base::ToMilliseconds(aStatus.mWithoutRoute) },
+           { "members", members },
+           { "redirect", redirect } };
 }
 
 } // namespace dogwooddrum::daemon
--- a/dogwooddrum/daemon/ControlLinks.h
+++ b/dogwooddrum/daemon/ControlLinks.h
@@ -4,12 +4,16 @@
  */
 #pragma once
 
+#include "dogwooddrum/base/Time.h"
 #include "dogwooddrum/protocol/Messages.h"
+#include "dogwooddrum/service/LogEvents.h"
 #include "dogwooddrum/transport/LinkClient.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -19,6 +23,28 @@
  * Increases with each selection. */
 using RouteId = std::uint64_t;
 
+/** How an entry or agent reaches the leader. */
+struct RouteStatus
+{
+  struct Member
+  {
+    std::string mAddress;
+    std::uint64_t mMember = 0; ///< 0: not connected since the start
+    bool mIsOpen = false;
+    bool mIsSelected = false;
+  };
+  /** Time without a route to a leader; 0 if there is one. */
+  base::Duration mWithoutRoute{};
+  std::vector<Member> mMembers;
+  /** Leader that the newest NotLeader named. */
+  std::string mLastRedirect;
+  std::optional<base::Time> mRedirectedAt;
+};
+
+/** Returns the fields of the event no_route. */
+std::vector<service::LogField>
+DescribeRoute(const RouteStatus& aStatus, base::Time aNow);
+
 /** Handlers run on network threads and must not block. */
 struct ControlLinksEvents
 {
@@ -60,6 +86,10 @@
   void AddMembers(const std::vector<std::string>& aAddresses);
   /** Records that the member behind aRoute answered as the leader. */
   void OnLeaderAnswered(RouteId aRoute);
+  RouteStatus Status(base::Time aNow) const;
+  /** Logs no_route, at most each second, while the state lasts for more than a
+   * second. */
+  void LogIfWithoutRoute(base::Time aNow);
 
 private:
   struct Impl;
--- a/dogwooddrum/daemon/JobAgentHost.cpp
+++ b/dogwooddrum/daemon/JobAgentHost.cpp
@@ -111,6 +111,10 @@
 
   void UpdateMetrics() override
   {
+    mContext.mMetrics->Set(
+      service::Gauge::RoutelessSeconds,
+      std::chrono::duration<double>(mLinks->Status(Now()).mWithoutRoute)
+        .count());
     mContext.mMetrics->Set(service::Gauge::HeldTasks, mHeldTaskCount);
     mContext.mMetrics->Set(service::Gauge::ConfigurationVersion,
                            static_cast<double>(mVersion.load()));
@@ -248,6 +252,7 @@
 
   void Tick(base::Time aNow)
   {
+    mLinks->LogIfWithoutRoute(aNow);
     if (mLastTick != base::Time{} && aNow - mLastTick > kResumeGap) {
       service::Log(
         LogEvent::AgentResumed,
--- a/dogwooddrum/daemon/JobEntryHost.cpp
+++ b/dogwooddrum/daemon/JobEntryHost.cpp
@@ -77,6 +77,10 @@
   void UpdateMetrics() override
   {
     auto& metrics = *mContext.mMetrics;
+    metrics.Set(
+      service::Gauge::RoutelessSeconds,
+      std::chrono::duration<double>(mLinks->Status(Now()).mWithoutRoute)
+        .count());
     metrics.Set(service::Gauge::RequestsInProgress,
                 static_cast<double>(mTable->InProgress()));
     metrics.Set(service::Gauge::QueuedRequests,
@@ -193,6 +197,7 @@
 
   void Tick(base::Time aNow)
   {
+    mLinks->LogIfWithoutRoute(aNow);
     SendPoll(aNow);
     UpdateFreshness(aNow);
     mTable->Tick(aNow);
--- a/dogwooddrum/daemon/WorkloadAgentHost.cpp
+++ b/dogwooddrum/daemon/WorkloadAgentHost.cpp
@@ -247,6 +247,10 @@
   bool IsReady() override { return mHasOrders; }
   void UpdateMetrics() override
   {
+    mContext.mMetrics->Set(
+      service::Gauge::RoutelessSeconds,
+      std::chrono::duration<double>(mLinks->Status(Now()).mWithoutRoute)
+        .count());
     mContext.mMetrics->Set(service::Gauge::HeldTasks,
                            static_cast<double>(mRunning.load()));
   }
@@ -321,14 +325,14 @@
   {
     bool changed = true;
     const std::lock_guard<std::mutex> lock(mMutex);
-    if (aAnnounced.mHasLeft) {
-      mAgent.OnLeft(aAnnounced.mTargetInfo.mTargetIncarnation.mInstance);
-    } else {
-      changed =
     LogIfDropped(aAnnounced, Now());
     const auto* target = mAgent.Target();
     const auto before = target == nullptr ? protocol::TargetIncarnation()
                                           : target->mTargetIncarnation;
+    if (aAnnounced.mHasLeft) {
+      mAgent.OnLeft(aAnnounced.mTargetInfo.mTargetIncarnation.mInstance);
+    } else {
+      changed =
         mAgent.OnAnnounced(aAnnounced.mTargetInfo, aAnnounced.mSequence, Now());
     }
     if (!changed) {
@@ -349,10 +353,6 @@
     SendReportLocked(Now());
   }
 
-  // Links.
-
-  void OnFrame(RouteId aRoute, const protocol::Frame& aFrame)
-  {
   /** Logs that the agent ignores an announcement. Precondition: mMutex is
    * held. */
   void LogIfDropped(const Announcement& aAnnounced, base::Time aNow)
@@ -395,6 +395,10 @@
                 std::to_string(target->mTargetIncarnation.mStartMs) } });
   }
 
+  // Links.
+
+  void OnFrame(RouteId aRoute, const protocol::Frame& aFrame)
+  {
     if (aFrame.mType == MessageType::WorkerOrders) {
       auto orders = protocol::Decode<protocol::WorkerOrders>(aFrame.mPayload);
       if (orders) {
@@ -437,6 +441,7 @@
 
   void Tick(base::Time aNow)
   {
+    mLinks->LogIfWithoutRoute(aNow);
     bool wake = false;
     {
       const std::lock_guard<std::mutex> lock(mMutex);
@@ -545,12 +550,12 @@
   const base::Incarnation mIncarnation = MakeRandomIncarnation();
   std::mutex mMutex; ///< guards the three members below
   WorkerAgent mAgent;
+  LogLimit mDroppedLimit;
   base::Time mNextReportAt{};
   std::unique_ptr<ControlLinks> mLinks;
   std::unique_ptr<transport::HttpServer> mServer;
   EventLoop mLoop;
   CallThread mRenewalThread;
-  LogLimit mDroppedLimit;
   CallThread mOrderThread;
   std::atomic<bool> mHasOrders{ false };
   std::atomic<std::size_t> mRunning{ 0 };
--- a/dogwooddrum/daemon/WorkloadEntryHost.cpp
+++ b/dogwooddrum/daemon/WorkloadEntryHost.cpp
@@ -175,6 +175,10 @@
   void UpdateMetrics() override
   {
     auto& metrics = *mContext.mMetrics;
+    metrics.Set(
+      service::Gauge::RoutelessSeconds,
+      std::chrono::duration<double>(mLinks->Status(Now()).mWithoutRoute)
+        .count());
     metrics.Set(service::Gauge::RequestsInProgress,
                 static_cast<double>(mFrontendServer->RequestsInProgress()));
     metrics.Set(service::Gauge::ConfigurationVersion,
@@ -488,6 +492,7 @@
 
   void Tick(base::Time aNow)
   {
+    mLinks->LogIfWithoutRoute(aNow);
     if (aNow >= mNextPollAt) {
       PollVersion(aNow);
     }
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -125,6 +125,14 @@
 ConsensusEvents()
 {
   return {
+    { LogEvent::NoRoute,
+      LogLevel::Warning,
+      "no_route",
+      "no route to a leader for {for_ms} ms",
+      "Repeated each second. The fields name each known control member "
+      "with the state of its link, and the last redirect.",
+      "Without an open link check the network; else see leader_unknown in"
+      " the logs of the members." },
     { LogEvent::LeaderElected,
       LogLevel::Info,
       "leader_elected",
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -48,6 +48,7 @@
   ConfigurationStale = 205,
   ConfigurationFresh = 206,
   // Consensus and storage.
+  NoRoute = 207,
   LeaderElected = 300,
   LeaderLost = 301,
   LeadershipTransferred = 302,
--- a/dogwooddrum/service/Metrics.cpp
+++ b/dogwooddrum/service/Metrics.cpp
@@ -53,8 +53,14 @@
     { "log_synced_entries", "Log entries covered by syncs" },
     { "workers_lost", "Workers whose heartbeats stopped" },
     { "workers_quarantined", "Workers put into quarantine" },
+    { "join_requests_sent", "Requests to join the group sent to members" },
+    { "join_requests_received", "Requests to join the group received" },
   } };
 
+constexpr std::array<const char*,
+                     static_cast<std::size_t>(PreVoteRefusal::Count)>
+  kPreVoteRefusals = { "hears_leader", "old_term", "own_log_is_newer" };
+
 constexpr std::array<MetricInfo, static_cast<std::size_t>(Gauge::Count)>
   kGauges = { {
     { "fragmentation_unusable_share",
@@ -76,6 +82,10 @@
     { "held_tasks", "Tasks at the target" },
     { "storage_withdrawn", "1 after a storage error" },
     { "ready", "1 while /readyz succeeds" },
+    { "leaderless_seconds",
+      "Time for which this member has known no leader; 0 if it knows one" },
+    { "routeless_seconds",
+      "Time without a route to a leader; 0 if there is one" },
   } };
 
 constexpr std::array<MetricInfo, static_cast<std::size_t>(Distribution::Count)>
@@ -224,6 +234,8 @@
   std::array<std::atomic<std::uint64_t>, kCounters.size()> mCounters{};
   ReasonCounters mRefusals{};
   ReasonCounters mRetries{};
+  std::array<std::atomic<std::uint64_t>, kPreVoteRefusals.size()>
+    mPreVoteRefusals{};
   std::array<std::atomic<double>, kGauges.size()> mGauges{};
   std::array<SeriesByProfile, kDistributions.size()> mDistributions;
 };
@@ -276,6 +288,13 @@
     .load(std::memory_order_relaxed);
 }
 
+void
+Metrics::CountPreVoteRefusal(PreVoteRefusal aReason)
+{
+  mImpl->mPreVoteRefusals.at(static_cast<std::size_t>(aReason))
+    .fetch_add(1, std::memory_order_relaxed);
+}
+
 void
 Metrics::Set(Gauge aGauge, double aValue)
 {
@@ -314,6 +333,14 @@
                        "Retries by the reason of the failure before",
                        mImpl->mRetries,
                        out);
+  out << "# HELP dogwooddrum_pre_votes_refused_total Refused pre-votes by "
+         "reason\n# TYPE dogwooddrum_pre_votes_refused_total counter\n";
+  for (std::size_t i = 0; i < kPreVoteRefusals.size(); ++i) {
+    out << "dogwooddrum_pre_votes_refused_total{reason=\""
+        << kPreVoteRefusals.at(i) << "\"} "
+        << mImpl->mPreVoteRefusals.at(i).load(std::memory_order_relaxed)
+        << '\n';
+  }
   for (std::size_t i = 0; i < kGauges.size(); ++i) {
     const double value = mImpl->mGauges[i].load(std::memory_order_relaxed);
     if (std::isnan(value)) {
--- a/dogwooddrum/service/Metrics.h
+++ b/dogwooddrum/service/Metrics.h
@@ -34,10 +34,22 @@
   LogSyncedEntries,
   WorkersLost,
   WorkersQuarantined,
+  JoinRequestsSent,
+  JoinRequestsReceived,
   // Number of counters; must stay last.
   Count,
 };
 
+/** Reasons for which a control member refuses a pre-vote. */
+enum class PreVoteRefusal : std::uint8_t
+{
+  HearsLeader,
+  OldTerm,
+  OwnLogIsNewer,
+  // Number of reasons; must stay last.
+  Count,
+};
+
 /** Values that rise and fall; a gauge that was never set is not rendered. */
 enum class Gauge : std::uint8_t
 {
@@ -59,6 +71,8 @@
   HeldTasks,
   StorageWithdrawn,
   Ready,
+  LeaderlessSeconds,
+  RoutelessSeconds,
   // Number of gauges; must stay last.
   Count,
 };
@@ -100,6 +114,8 @@
   void CountRetry(base::Reason aReason);
   /** Returns the number of retries for aReason. */
   std::uint64_t Retries(base::Reason aReason) const;
+  /** Counts a refused pre-vote. */
+  void CountPreVoteRefusal(PreVoteRefusal aReason);
   /** Sets a gauge. */
   void Set(Gauge aGauge, double aValue);
   /**
--- a/tests/correctness/MetricsText.cpp
+++ b/tests/correctness/MetricsText.cpp
@@ -88,6 +88,21 @@
   }
 }
 
+TEST(MetricsText, RefusedPreVotesAreCountedByReason)
+{
+  Metrics metrics;
+  metrics.CountPreVoteRefusal(PreVoteRefusal::OwnLogIsNewer);
+  metrics.Add(Counter::JoinRequestsSent, 2);
+  metrics.Add(Counter::JoinRequestsReceived, 3);
+  const std::string text = metrics.Render();
+  const std::string name = "dogwooddrum_pre_votes_refused_total{reason=";
+  EXPECT_EQ(ValueOf(text, name + "\"own_log_is_newer\"}"), 1);
+  EXPECT_EQ(ValueOf(text, name + "\"hears_leader\"}"), 0);
+  EXPECT_EQ(ValueOf(text, name + "\"old_term\"}"), 0);
+  EXPECT_EQ(ValueOf(text, "dogwooddrum_join_requests_sent_total"), 2);
+  EXPECT_EQ(ValueOf(text, "dogwooddrum_join_requests_received_total"), 3);
+}
+
 TEST(MetricsText, NumberOfProfilesIsBounded)
 {
   Metrics metrics;
