Log why a member does not lead, and why votes and joins are refused

Cause: two control members answered every operator call with no_leader for 20 s, and no log told whether they lacked links, votes or a place in the group.

Change: Raft exposes its refusals and what other voters have answered; no decision reads them. A member without a leader for more than a second logs leader_unknown each second. The refusing side logs vote_refused, at most once a second for each candidate. repair_proposed names the change and its reason, join_not_served why a process waits, seeking_group whom it asks and who has answered; a spare of a complete group stays quiet. leader_lost has its reason, control_addresses lists what the settings give, a start that is refused for its settings is logged as start_refused, and no_leader names its duration in the log and in the body of the answer.

--- a/dogwooddrum/coordination/consensus/Election.cpp
+++ b/dogwooddrum/coordination/consensus/Election.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t kMaxVoteRefusals = 64;
+
 bool
 IsInContactWithLeader(const RaftState& aState)
 {
@@ -38,6 +40,13 @@
 void
 RequestVotes(RaftState& aState, const VoteRequest& aRequest)
 {
+  aState.mVoteRequestTerm = aRequest.mPreVote
+                              ? base::Term(aState.mHardState.mTerm.Value() + 1)
+                              : aState.mHardState.mTerm;
+  aState.mVoteRequestIsPreVote = aRequest.mPreVote;
+  for (auto& [id, record] : aState.mPeerRecords) {
+    record.mVoteAnswer = VoteAnswer::None;
+  }
   for (const Member& member : aState.mLog.CurrentMembership().mMembers) {
     if (!member.mVoter || member.mId == aState.mOptions.mSelf) {
       continue;
@@ -74,12 +83,30 @@
   RequestVotes(aState, MakeVoteRequest(aState, true, false));
 }
 
+void
+RecordRefusal(RaftState& aState,
+              const Message& aMessage,
+              const VoteRequest& aRequest,
+              VoteRefusalReason aReason)
+{
+  // A host that does not take the list must not make it grow.
+  if (aState.mVoteRefusals.size() < kMaxVoteRefusals) {
+    aState.mVoteRefusals.push_back({ aMessage.mFrom,
+                                     aMessage.mTerm,
+                                     aRequest.mPreVote,
+                                     aReason,
+                                     aRequest.mLastIndex,
+                                     aRequest.mLastTerm });
+  }
+}
+
 void
 OnPreVoteRequest(RaftState& aState,
                  const Message& aMessage,
                  const VoteRequest& aRequest)
 {
   if (IsInContactWithLeader(aState)) {
+    RecordRefusal(aState, aMessage, aRequest, VoteRefusalReason::HearsLeader);
     return;
   }
   VoteReply reply;
@@ -89,10 +116,34 @@
   Message message = MakeMessage(aState, aMessage.mFrom, reply);
   if (reply.mGranted) {
     message.mTerm = aMessage.mTerm;
+  } else {
+    RecordRefusal(aState,
+                  aMessage,
+                  aRequest,
+                  aMessage.mTerm > aState.mHardState.mTerm
+                    ? VoteRefusalReason::OwnLogIsNewer
+                    : VoteRefusalReason::OldTerm);
   }
   aState.mOutbox.Send(std::move(message));
 }
 
+/** Returns why a vote that was not granted is refused. */
+VoteRefusalReason
+ReasonOfRefusedVote(const RaftState& aState,
+                    const Message& aMessage,
+                    const VoteRequest& aRequest)
+{
+  if (aMessage.mTerm != aState.mHardState.mTerm) {
+    return VoteRefusalReason::OldTerm;
+  }
+  if (!IsUpToDate(aState, aRequest)) {
+    return VoteRefusalReason::OwnLogIsNewer;
+  }
+  return aState.mRole == Role::Follower && aState.mLeaderId == base::MemberId()
+           ? VoteRefusalReason::VotedForOther
+           : VoteRefusalReason::KnowsLeader;
+}
+
 } // namespace
 
 void
@@ -115,6 +166,38 @@
   }
 }
 
+void
+RecordNewerTerm(RaftState& aState, const Message& aMessage)
+{
+  if (aState.mRole == Role::Leader) {
+    aState.mStepDownReason =
+      "member " + std::to_string(aMessage.mFrom.Value()) +
+      " has the newer term " + std::to_string(aMessage.mTerm.Value());
+  }
+}
+
+void
+RecordMessage(RaftState& aState, const Message& aMessage)
+{
+  if (FindMember(aState.mLog.CurrentMembership(), aMessage.mFrom) == nullptr) {
+    aState.mPeerRecords.erase(aMessage.mFrom);
+    return;
+  }
+  PeerRecord& record = aState.mPeerRecords[aMessage.mFrom];
+  record.mLastMessageAt = aState.mNow;
+  const auto* reply = std::get_if<VoteReply>(&aMessage.mBody);
+  if (reply == nullptr || reply->mPreVote != aState.mVoteRequestIsPreVote) {
+    return;
+  }
+  // A refusal holds the other member's own term, so that one of an earlier
+  // request cannot be told apart.
+  if (!reply->mGranted) {
+    record.mVoteAnswer = VoteAnswer::Refused;
+  } else if (aMessage.mTerm == aState.mVoteRequestTerm) {
+    record.mVoteAnswer = VoteAnswer::Granted;
+  }
+}
+
 void
 BecomeFollower(RaftState& aState, base::Term aTerm, base::MemberId aLeader)
 {
@@ -182,9 +265,11 @@
     return;
   }
   if (!aRequest.mTransfer && IsInContactWithLeader(aState)) {
+    RecordRefusal(aState, aMessage, aRequest, VoteRefusalReason::HearsLeader);
     return; // A member cut off from the leader must not depose it.
   }
   if (aMessage.mTerm > aState.mHardState.mTerm) {
+    RecordNewerTerm(aState, aMessage);
     BecomeFollower(aState, aMessage.mTerm, base::MemberId());
   }
   VoteReply reply;
@@ -199,6 +284,12 @@
     aState.mOutbox.SetHardState(aState.mHardState);
     ResetElectionTimer(aState);
   }
+  if (!reply.mGranted) {
+    RecordRefusal(aState,
+                  aMessage,
+                  aRequest,
+                  ReasonOfRefusedVote(aState, aMessage, aRequest));
+  }
   aState.mOutbox.SendWhenDurable(MakeMessage(aState, aMessage.mFrom, reply));
 }
 
--- a/dogwooddrum/coordination/consensus/Election.h
+++ b/dogwooddrum/coordination/consensus/Election.h
@@ -21,6 +21,14 @@
 void
 ResetPreVoteTimer(RaftState& aState);
 
+/** Records the newer term of aMessage as the reason why a leader steps down. */
+void
+RecordNewerTerm(RaftState& aState, const Message& aMessage);
+
+/** Records a member's message for CurrentElectionStatus. */
+void
+RecordMessage(RaftState& aState, const Message& aMessage);
+
 /**
  * Becomes a follower of aLeader (0: unknown) in aTerm. If this member was the
  * leader, its pending reads fail. Precondition: aTerm is not below the current
--- a/dogwooddrum/coordination/consensus/GroupRepair.cpp
+++ b/dogwooddrum/coordination/consensus/GroupRepair.cpp
@@ -136,4 +136,44 @@
   return std::nullopt;
 }
 
+std::string
+DescribeRepair(const GroupView& aView, const Membership& aNext)
+{
+  const auto find = [](const Membership& aMembership, base::MemberId aId) {
+    return std::find_if(
+      aMembership.mMembers.begin(),
+      aMembership.mMembers.end(),
+      [&](const Member& aMember) { return aMember.mId == aId; });
+  };
+  for (const Member& member : aView.mMembership.mMembers) {
+    if (find(aNext, member.mId) != aNext.mMembers.end()) {
+      continue;
+    }
+    const std::string what =
+      "remove member " + std::to_string(member.mId.Value()) + ": ";
+    for (const JoinCandidate& candidate : aView.mJoinCandidates) {
+      if (candidate.mId != member.mId &&
+          candidate.mAddress == member.mAddress) {
+        return what + "lost disk at " + member.mAddress + ", now member " +
+               std::to_string(candidate.mId.Value());
+      }
+    }
+    return what + "unresponsive for " +
+           std::to_string(
+             base::ToMilliseconds(TimeSinceContact(aView, member.mId))) +
+           " ms";
+  }
+  for (const Member& member : aNext.mMembers) {
+    const std::string id = std::to_string(member.mId.Value());
+    const auto old = find(aView.mMembership, member.mId);
+    if (old == aView.mMembership.mMembers.end()) {
+      return "add learner " + id + ": join request from " + member.mAddress;
+    }
+    if (member.mVoter && !old->mVoter) {
+      return "promote member " + id + ": learner has caught up";
+    }
+  }
+  return "no change";
+}
+
 } // namespace dogwooddrum::coordination::consensus
--- a/dogwooddrum/coordination/consensus/GroupRepair.h
+++ b/dogwooddrum/coordination/consensus/GroupRepair.h
@@ -47,4 +47,9 @@
 std::optional<Membership>
 PlanNextRepair(const GroupView& aView, const GroupRepairOptions& aOptions);
 
+/** Returns which member the change from aView's membership to aNext concerns,
+ * and why, for the log. Thread safe. */
+std::string
+DescribeRepair(const GroupView& aView, const Membership& aNext);
+
 } // namespace dogwooddrum::coordination::consensus
--- a/dogwooddrum/coordination/consensus/Leadership.cpp
+++ b/dogwooddrum/coordination/consensus/Leadership.cpp
@@ -105,6 +105,7 @@
     return;
   }
   if (!HasQuorumContact(aState)) {
+    aState.mStepDownReason = "no contact with a quorum";
     BecomeFollower(aState, aState.mHardState.mTerm, base::MemberId());
     return;
   }
@@ -113,6 +114,7 @@
       aState.mNow >= leader.mTransferDeadline) {
     // Commands were refused since the transfer began; the host must see that
     // its leadership ended before it proposes again.
+    aState.mStepDownReason = "leadership transfer timed out";
     BecomeFollower(aState, aState.mHardState.mTerm, base::MemberId());
     return;
   }
@@ -216,6 +218,7 @@
     return;
   }
   BroadcastHeartbeat(aState); // sends the commit index
+  aState.mStepDownReason = "removed from the voters";
   ResignToMostCurrentVoter(aState);
 }
 
--- a/dogwooddrum/coordination/consensus/Raft.cpp
+++ b/dogwooddrum/coordination/consensus/Raft.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace dogwooddrum::coordination::consensus {
 
@@ -99,6 +100,7 @@
     return;
   }
   if (aMessage.mTerm > aState.mHardState.mTerm && !IsGrantedPreVote(aMessage)) {
+    RecordNewerTerm(aState, aMessage);
     BecomeFollower(aState, aMessage.mTerm, base::MemberId());
   }
   std::visit(MessageDispatcher{ aState, aMessage }, aMessage.mBody);
@@ -157,6 +159,7 @@
   if (aMessage.mTo != self || aMessage.mFrom == self) {
     return;
   }
+  RecordMessage(*mImpl, aMessage);
   if (mImpl->mStorageFailed) {
     ObserveLeader(*mImpl, aMessage);
   } else {
@@ -220,6 +223,7 @@
   mImpl->mStorageFailed = true;
   mImpl->mOutbox.Abandon();
   if (mImpl->mRole == Role::Leader) {
+    mImpl->mStepDownReason = "storage failed";
     ResignToMostCurrentVoter(*mImpl);
   } else {
     BecomeFollower(*mImpl, mImpl->mHardState.mTerm, mImpl->mLeaderId);
@@ -249,6 +253,7 @@
   DeliverCommitted(*mImpl, ready);
   CollectReads(*mImpl, ready);
   mImpl->mOutbox.MoveInto(ready);
+  ready.mVoteRefusals = std::exchange(mImpl->mVoteRefusals, {});
   return ready;
 }
 
@@ -311,6 +316,32 @@
   return it->second.mLastContact;
 }
 
+ElectionStatus
+Raft::CurrentElectionStatus() const
+{
+  ElectionStatus status;
+  status.mRole = mImpl->mRole;
+  status.mTerm = mImpl->mHardState.mTerm;
+  status.mLastIndex = mImpl->mLog.LastIndex();
+  status.mLastTerm = mImpl->mLog.LastTerm();
+  status.mIsVoter = IsVoter(*mImpl, mImpl->mOptions.mSelf);
+  status.mStepDownReason = mImpl->mStepDownReason;
+  for (const Member& member : mImpl->mLog.CurrentMembership().mMembers) {
+    if (!member.mVoter || member.mId == mImpl->mOptions.mSelf) {
+      continue;
+    }
+    PeerStatus peer;
+    peer.mId = member.mId;
+    const auto it = mImpl->mPeerRecords.find(member.mId);
+    if (it != mImpl->mPeerRecords.end()) {
+      peer.mLastMessageAt = it->second.mLastMessageAt;
+      peer.mVoteAnswer = it->second.mVoteAnswer;
+    }
+    status.mOtherVoters.push_back(peer);
+  }
+  return status;
+}
+
 base::LogIndex
 Raft::MatchIndex(base::MemberId aMember) const
 {
--- a/dogwooddrum/coordination/consensus/Raft.h
+++ b/dogwooddrum/coordination/consensus/Raft.h
@@ -260,6 +260,26 @@
   std::optional<HardState> mHardState;
 };
 
+enum class VoteRefusalReason : std::uint8_t
+{
+  HearsLeader,   ///< no reply is sent; the candidate sees no answer
+  OldTerm,       ///< the request's term is too low
+  OwnLogIsNewer, ///< the candidate lacks entries that this member has
+  VotedForOther, ///< in the same term
+  KnowsLeader,   ///< of the same term, or is itself a candidate of it
+};
+
+/** A vote or pre-vote that this member refused; for the log. */
+struct VoteRefusal
+{
+  base::MemberId mCandidate;
+  base::Term mTerm; ///< of the request
+  bool mPreVote = false;
+  VoteRefusalReason mReason = VoteRefusalReason::HearsLeader;
+  base::LogIndex mCandidateLastIndex;
+  base::Term mCandidateLastTerm;
+};
+
 /** Actions that the host must take after an event. */
 struct Ready
 {
@@ -271,6 +291,36 @@
   std::vector<LogEntry> mCommitted;    ///< apply in order; all kinds
   std::vector<ReadId> mConfirmedReads; ///< applied state is current for these
   std::vector<ReadId> mFailedReads;    ///< leadership was lost
+  std::vector<VoteRefusal> mVoteRefusals; ///< need no action
+};
+
+/** Answer of a voter to this member's newest vote or pre-vote request. */
+enum class VoteAnswer : std::uint8_t
+{
+  None,
+  Granted,
+  Refused,
+};
+
+/** Another voter, as this member sees it. */
+struct PeerStatus
+{
+  base::MemberId mId;
+  std::optional<base::Time> mLastMessageAt; ///< newest message received
+  VoteAnswer mVoteAnswer = VoteAnswer::None;
+};
+
+/** Why this member leads or does not lead; for the log. */
+struct ElectionStatus
+{
+  Role mRole = Role::Follower;
+  base::Term mTerm;
+  base::LogIndex mLastIndex;
+  base::Term mLastTerm;
+  bool mIsVoter = false;
+  std::vector<PeerStatus> mOtherVoters; ///< of the newest membership
+  /** Why this member last ceased to lead; empty if it never led. */
+  std::string mStepDownReason;
 };
 
 /**
@@ -358,6 +408,9 @@
   /** Returns when the last message from a member arrived. Empty if this
    * member does not lead, for itself and for unknown members. */
   std::optional<base::Time> LastContact(base::MemberId aMember) const;
+  /** Returns the role, the log's end and what the other voters have answered.
+   */
+  ElectionStatus CurrentElectionStatus() const;
   /** Returns how far a member's log is known to match; leader only. */
   base::LogIndex MatchIndex(base::MemberId aMember) const;
 
--- a/dogwooddrum/coordination/consensus/RaftState.h
+++ b/dogwooddrum/coordination/consensus/RaftState.h
@@ -62,6 +62,13 @@
   base::Time mTransferDeadline;
 };
 
+/** What was last received from another member. */
+struct PeerRecord
+{
+  std::optional<base::Time> mLastMessageAt;
+  VoteAnswer mVoteAnswer = VoteAnswer::None;
+};
+
 /** A snapshot that arrives in chunks. */
 struct IncomingSnapshot
 {
@@ -104,6 +111,12 @@
   std::optional<IncomingSnapshot> mIncomingSnapshot;
   LeaderState mLeader;
   std::vector<ReadId> mFailedReads;
+  // Read by CurrentElectionStatus and Ready only; no decision uses them.
+  std::map<base::MemberId, PeerRecord> mPeerRecords; ///< of current members
+  base::Term mVoteRequestTerm; ///< of the newest own (pre-)vote request
+  bool mVoteRequestIsPreVote = false;
+  std::vector<VoteRefusal> mVoteRefusals;
+  std::string mStepDownReason;
 };
 
 /** Returns the member with the given id, or null. */
--- a/dogwooddrum/daemon/Adapters.h
+++ b/dogwooddrum/daemon/Adapters.h
@@ -91,8 +91,10 @@
   virtual transport::ServerResponse Redirect(
     const transport::Address& aAddress,
     const transport::ServerRequest& aRequest) const = 0;
-  /** Returns a response for a call that may or may not have been executed. */
-  virtual transport::ServerResponse Unavailable() const = 0;
+  /** Returns a response for a call that may or may not have been executed.
+   * aError: for the operator; may be empty. */
+  virtual transport::ServerResponse Unavailable(
+    const std::string& aError) const = 0;
 };
 
 /** The state that a target announces to its agent. */
--- a/dogwooddrum/daemon/ControlCore.cpp
+++ b/dogwooddrum/daemon/ControlCore.cpp
@@ -2,6 +2,8 @@
 
 #include "dogwooddrum/base/Check.h"
 #include "dogwooddrum/daemon/Clock.h"
+#include "dogwooddrum/daemon/ElectionLog.h"
+#include "dogwooddrum/daemon/LogLimit.h"
 #include "dogwooddrum/service/LogEvents.h"
 
 #include <algorithm>
@@ -32,21 +34,12 @@
 constexpr base::Duration kMaxJoinRequestAge = base::Milliseconds(2000);
 constexpr std::size_t kMaxJoinCandidates = 64;
 constexpr base::Duration kSnapshotLoopTick = base::Milliseconds(1000);
+/** Longer than most elections and repairs, which are not logged. */
+constexpr base::Duration kLongWait = base::Milliseconds(1000);
 /** Bounds one call of ProcessOutput: an endless loop of outputs would stop the
  * timers. */
 constexpr int kMaxOutputRounds = 1000;
 
-std::string
-FormatMembership(const Membership& aMembership)
-{
-  std::string text;
-  for (const auto& member : aMembership.mMembers) {
-    text += (text.empty() ? "" : " ") + std::to_string(member.mId.Value()) +
-            (member.mVoter ? "=" : "(learner)=") + member.mAddress;
-  }
-  return text;
-}
-
 } // namespace
 
 struct ControlCore::Impl
@@ -119,6 +112,7 @@
   bool HandleReady(Ready aReady)
   {
     bool hasWorked = false;
+    LogVoteRefusals(aReady.mVoteRefusals);
     if (aReady.mPersist) {
       mLog.Persist(std::move(*aReady.mPersist));
       hasWorked = true;
@@ -204,7 +198,8 @@
       mIsLeaderReady = false;
       service::Log(LogEvent::LeaderLost,
                    { { "member", mOptions.mRaft.mSelf.Value() },
-                     { "term", mLedTerm.Value() } });
+                     { "term", mLedTerm.Value() },
+                     { "reason", StepDownReason() } });
       mCoordinator.StepDown(now);
     }
     UpdateMembership();
@@ -243,6 +238,114 @@
     return lag;
   }
 
+  std::string StepDownReason() const
+  {
+    return mRaft.CurrentRole() == Role::Leader &&
+               mRaft.CurrentTerm() == mLedTerm
+             ? "leadership is transferred"
+             : mRaft.CurrentElectionStatus().mStepDownReason;
+  }
+
+  void LogVoteRefusals(
+    const std::vector<coordination::consensus::VoteRefusal>& aRefusals)
+  {
+    for (const auto& refusal : aRefusals) {
+      mHooks.mVoteRefused(refusal);
+      if (mVoteRefusalLimit.Take(refusal.mCandidate, Now())) {
+        service::Log(LogEvent::VoteRefused,
+                     DescribeVoteRefusal(
+                       refusal, mRaft.CurrentElectionStatus(), mRaft.Leader()));
+      }
+    }
+  }
+
+  /** Records and logs for how long this member has known no leader. */
+  void UpdateLeaderless(base::Time aNow)
+  {
+    if (mRaft.Leader() != base::MemberId()) {
+      mLeaderlessSince = base::Time{};
+    } else if (mLeaderlessSince == base::Time{}) {
+      mLeaderlessSince = aNow;
+    }
+    mStatus.mLeaderlessSince = mLeaderlessSince;
+    const auto leaderless = mStatus.LeaderlessTime(aNow);
+    // Without a seat in the group, a process with seeds logs seeking_group.
+    if (leaderless <= kLongWait ||
+        (mOptions.mRepair && !IsMember(mOptions.mRaft.mSelf)) ||
+        !mLeaderlessLimit.Take(aNow)) {
+      return;
+    }
+    LeaderlessView view;
+    view.mSelf = mOptions.mRaft.mSelf;
+    view.mNow = aNow;
+    view.mFor = leaderless;
+    view.mStatus = mRaft.CurrentElectionStatus();
+    view.mMembership = mRaft.CurrentMembership();
+    view.mIsLinkOpen = mHooks.mIsPeerLinkOpen;
+    service::Log(LogEvent::LeaderUnknown, DescribeLeaderless(view));
+  }
+
+  bool IsMember(base::MemberId aMember) const
+  {
+    const auto& members = mRaft.CurrentMembership().mMembers;
+    return std::any_of(members.begin(), members.end(), [&](const auto& aEach) {
+      return aEach.mId == aMember;
+    });
+  }
+
+  coordination::consensus::GroupView ViewGroup(base::Time aNow) const
+  {
+    coordination::consensus::GroupView view;
+    view.mMembership = mRaft.CurrentMembership();
+    view.mSelf = mOptions.mRaft.mSelf;
+    for (const auto& member : view.mMembership.mMembers) {
+      if (const auto lastContact = mRaft.LastContact(member.mId)) {
+        view.mTimeSinceContact[member.mId] = aNow - *lastContact;
+      }
+    }
+    for (const auto& [address, candidate] : mJoinCandidates) {
+      if (aNow - candidate.mAskedAt <= kMaxJoinRequestAge) {
+        view.mJoinCandidates.push_back({ candidate.mMember, address });
+      }
+    }
+    return view;
+  }
+
+  /** Logs the processes that have asked to join for long, and why they are not
+   * served. */
+  void LogWaitingJoins(base::Time aNow)
+  {
+    if (mJoinCandidates.empty() || !mWaitingJoinLimit.Take(aNow)) {
+      return;
+    }
+    JoinView view;
+    view.mGroup = ViewGroup(aNow);
+    view.mLeader = mRaft.Leader();
+    view.mIsLeader = mRaft.CurrentRole() == Role::Leader;
+    view.mIsLeaderReady = mIsLeaderReady;
+    view.mRepair = mOptions.mRepair;
+    std::string requests;
+    for (const auto& [address, candidate] : mJoinCandidates) {
+      if (aNow - candidate.mAskedAt > kMaxJoinRequestAge ||
+          aNow - candidate.mFirstAskedAt <= kLongWait) {
+        continue;
+      }
+      const auto reason = WhyNotServed(view, { candidate.mMember, address });
+      if (!reason.empty()) {
+        const auto waitedMs =
+          base::ToMilliseconds(aNow - candidate.mFirstAskedAt);
+        requests += requests.empty() ? "" : "; ";
+        requests += "member " + std::to_string(candidate.mMember.Value());
+        requests += " at " + address;
+        requests += " for " + std::to_string(waitedMs) + " ms: ";
+        requests += reason;
+      }
+    }
+    if (!requests.empty()) {
+      service::Log(LogEvent::JoinNotServed, { { "requests", requests } });
+    }
+  }
+
   void UpdateMembership()
   {
     const Membership& membership = mRaft.CurrentMembership();
@@ -303,22 +406,14 @@
       return;
     }
     mNextRepair = aNow + kRepairInterval;
-    coordination::consensus::GroupView view;
-    view.mMembership = mRaft.CurrentMembership();
-    view.mSelf = mOptions.mRaft.mSelf;
-    for (const auto& member : view.mMembership.mMembers) {
-      if (const auto lastContact = mRaft.LastContact(member.mId)) {
-        view.mTimeSinceContact[member.mId] = aNow - *lastContact;
-      }
-    }
-    for (const auto& [address, candidate] : mJoinCandidates) {
-      if (aNow - candidate.mAskedAt <= kMaxJoinRequestAge) {
-        view.mJoinCandidates.push_back({ candidate.mMember, address });
-      }
-    }
-    if (const auto next =
-          coordination::consensus::PlanNextRepair(view, *mOptions.mRepair)) {
-      mRaft.ProposeMembership(*next, aNow);
+    const auto view = ViewGroup(aNow);
+    const auto next =
+      coordination::consensus::PlanNextRepair(view, *mOptions.mRepair);
+    if (next && mRaft.ProposeMembership(*next, aNow)) {
+      service::Log(
+        LogEvent::RepairProposed,
+        { { "change", coordination::consensus::DescribeRepair(view, *next) },
+          { "members", FormatMembership(*next) } });
     }
   }
 
@@ -385,9 +480,14 @@
   {
     base::MemberId mMember;
     base::Time mAskedAt;
+    base::Time mFirstAskedAt; ///< since the last pause in its requests
   };
   std::map<std::string, JoinCandidate> mJoinCandidates;
   base::Time mNextRepair{};
+  base::Time mLeaderlessSince{}; ///< the epoch: a leader is known
+  LogLimit mLeaderlessLimit;
+  LogLimit mWaitingJoinLimit;
+  LogLimitByKey<base::MemberId> mVoteRefusalLimit;
 };
 
 ControlCore::ControlCore(
@@ -449,7 +549,14 @@
       candidates.count(aRequest.mAddress) == 0) {
     candidates.erase(candidates.begin());
   }
-  candidates[aRequest.mAddress] = { aRequest.mMember, Now() };
+  const auto now = Now();
+  auto& candidate = candidates[aRequest.mAddress];
+  if (candidate.mMember != aRequest.mMember ||
+      now - candidate.mAskedAt > kMaxJoinRequestAge) {
+    candidate.mFirstAskedAt = now;
+  }
+  candidate.mMember = aRequest.mMember;
+  candidate.mAskedAt = now;
 }
 
 const coordination::consensus::Membership&
@@ -472,6 +579,8 @@
   mImpl->mCoordinator.Tick(aNow);
   mImpl->UpdateFragmentation(aNow);
   mImpl->RepairGroup(aNow);
+  mImpl->UpdateLeaderless(aNow);
+  mImpl->LogWaitingJoins(aNow);
 }
 
 void
--- a/dogwooddrum/daemon/ControlCore.h
+++ b/dogwooddrum/daemon/ControlCore.h
@@ -36,6 +36,9 @@
   std::function<void(const coordination::workloads::WorkloadEvent&)>
     mWorkloadEvent;
   std::function<void(const SyncResult&)> mSynced; ///< called on the log thread
+  std::function<void(const coordination::consensus::VoteRefusal&)> mVoteRefused;
+  /** Returns whether messages to this member can be sent at present. */
+  std::function<bool(base::MemberId)> mIsPeerLinkOpen;
 };
 
 /** State for /readyz and /metrics. Thread safe. */
@@ -54,6 +57,8 @@
   std::atomic<std::uint64_t> mActiveJobs{ 0 };
   std::atomic<bool> mStorageFailed{ false };
   std::atomic<bool> mHasOtherVoters{ false };
+  /** Since when no leader is known; the epoch: one is known. */
+  std::atomic<base::Time> mLeaderlessSince{ base::Time{} };
   // Free capacity, measured by the leader every 5 s.
   std::atomic<double> mUnusableShare{ 0 };
   std::atomic<std::uint32_t> mFreeAccelerators{ 0 };
@@ -61,6 +66,14 @@
   std::atomic<std::uint32_t> mLargestOnWorker{ 0 };
   std::atomic<std::uint32_t> mLargestInRack{ 0 };
   std::atomic<std::uint32_t> mLargestInZone{ 0 };
+
+  /** Returns for how long no leader has been known; 0 if one is known. */
+  base::Duration LeaderlessTime(base::Time aNow) const
+  {
+    const base::Time since = mLeaderlessSince;
+    return since == base::Time{} || aNow < since ? base::Duration::zero()
+                                                 : aNow - since;
+  }
 };
 
 /**
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -1,9 +1,11 @@
 #include "dogwooddrum/daemon/Clock.h"
 #include "dogwooddrum/daemon/ControlCore.h"
 #include "dogwooddrum/daemon/DataFolder.h"
+#include "dogwooddrum/daemon/ElectionLog.h"
 #include "dogwooddrum/daemon/EventLoop.h"
 #include "dogwooddrum/daemon/Host.h"
 #include "dogwooddrum/daemon/JoinLinks.h"
+#include "dogwooddrum/daemon/LogLimit.h"
 #include "dogwooddrum/daemon/MemberCheck.h"
 #include "dogwooddrum/daemon/Notices.h"
 #include "dogwooddrum/daemon/OperatorServer.h"
@@ -14,6 +16,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 namespace dogwooddrum::daemon {
@@ -23,6 +26,7 @@
 using coordination::control::Outgoing;
 using coordination::control::SessionId;
 using protocol::MessageType;
+using service::Counter;
 using service::Gauge;
 using service::LogEvent;
 
@@ -196,11 +200,13 @@
       { { "protocol", "links" },
         { "address",
           common.mBindAddress + ":" + std::to_string(mServer->Port()) } });
-    mJoinLinks = std::make_unique<JoinLinks>(*mContext.mNetwork,
-                                             options,
-                                             *mContext.mCounters,
-                                             mSettings.mMemberId,
-                                             SelfAddress());
+    mJoinLinks = std::make_unique<JoinLinks>(
+      *mContext.mNetwork,
+      options,
+      *mContext.mCounters,
+      mSettings.mMemberId,
+      SelfAddress(),
+      [this] { mContext.mMetrics->Add(Counter::JoinRequestsSent); });
     mCore->Start();
     mLoop.Start();
     return ListenForOperators();
@@ -226,6 +232,9 @@
     set(Gauge::ReplicationLagEntries, status.mReplicationLag);
     set(Gauge::ConfigurationVersion, status.mConfigurationVersion);
     set(Gauge::ActiveJobs, status.mActiveJobs);
+    metrics.Set(
+      Gauge::LeaderlessSeconds,
+      std::chrono::duration<double>(status.LeaderlessTime(Now())).count());
     set(Gauge::StorageWithdrawn, status.mStorageFailed ? 1 : 0);
     metrics.Set(Gauge::FragmentationUnusableShare, status.mUnusableShare);
     set(Gauge::AcceleratorsFree, status.mFreeAccelerators);
@@ -341,6 +350,7 @@
         (isLeaderKnown ||
          aNow - mLeaderLastKnownAt < kLeaderlessTimeBeforeJoin)) {
       mJoinLinks->CloseLinks();
+      mSeekingSince = aNow;
       return;
     }
     if (aNow < mNextJoin) {
@@ -358,11 +368,50 @@
     }
     mJoinLinks->RequestJoin(addresses, [this](const auto& aMembership) {
       mLoop.Post([this, aMembership] {
+        mAnsweredMembership = aMembership;
         if (mCore->CurrentMembership().mMembers.empty()) {
           mPeers->Update(aMembership);
         }
       });
     });
+    LogSeeking(aNow);
+  }
+
+  /** Logs whom this process asks to take it into the group. */
+  void LogSeeking(base::Time aNow)
+  {
+    if (mSeekingSince == base::Time{}) {
+      mSeekingSince = aNow;
+    }
+    if (aNow - mSeekingSince <= kLogInterval) {
+      return; // most processes are taken in sooner
+    }
+    std::set<std::string> seeds;
+    for (const auto& seed : mSettings.mSeeds) {
+      seeds.insert(service::ToString(
+        service::Address{ seed.mIp, mContext.mSettings.mCommon.mLinkPort }));
+    }
+    SeekingView view;
+    view.mNow = aNow;
+    view.mSelf = mSettings.mMemberId;
+    view.mIsVoter = mCore->IsVoter(mSettings.mMemberId);
+    view.mLeaderless = mCore->Status().LeaderlessTime(aNow);
+    view.mMembership = mCore->CurrentMembership();
+    view.mAnsweredMembership = mAnsweredMembership;
+    for (const auto& link : mJoinLinks->Status()) {
+      view.mLinks.push_back(
+        { link.mAddress,
+          seeds.count(link.mAddress) > 0 ? "settings" : "members",
+          link.mIsOpen,
+          link.mAnsweredAt });
+    }
+    const auto state = FormatSeekingState(view);
+    const bool isSpare =
+      IsSpare(view, SelfAddress(), 2 * mSettings.mToleratedLosses + 1);
+    if ((!isSpare || state != mSeekingState) && mSeekingLimit.Take(aNow)) {
+      mSeekingState = state;
+      service::Log(LogEvent::SeekingGroup, DescribeSeeking(view));
+    }
   }
 
   static void LogRecovered(
@@ -421,6 +470,22 @@
         mContext.mNetwork->Post(
           [this, aEvent] { LogAndCount(aEvent, *mContext.mMetrics); });
       };
+    hooks.mVoteRefused =
+      [this](const coordination::consensus::VoteRefusal& aRefusal) {
+        using Reason = coordination::consensus::VoteRefusalReason;
+        using service::PreVoteRefusal;
+        if (aRefusal.mPreVote) {
+          mContext.mMetrics->CountPreVoteRefusal(
+            aRefusal.mReason == Reason::HearsLeader
+              ? PreVoteRefusal::HearsLeader
+            : aRefusal.mReason == Reason::OldTerm
+              ? PreVoteRefusal::OldTerm
+              : PreVoteRefusal::OwnLogIsNewer);
+        }
+      };
+    hooks.mIsPeerLinkOpen = [this](base::MemberId aMember) {
+      return mPeers->IsOpen(aMember);
+    };
     hooks.mSynced = [this](const SyncResult& aSynced) {
       auto& metrics = *mContext.mMetrics;
       metrics.Add(service::Counter::LogSyncs);
@@ -494,6 +559,7 @@
         return peer.mRole == PeerRole::Control &&
                DecodeAndPost<protocol::JoinRequest>(
                  aFrame, [this, aLink](const auto& aRequest) {
+                   mContext.mMetrics->Add(Counter::JoinRequestsReceived);
                    mCore->OnJoinRequest(aRequest);
                    aLink->Send(MessageType::JoinReply,
                                protocol::Encode(mCore->CurrentMembership()));
@@ -591,6 +657,11 @@
   std::unique_ptr<OperatorServer> mOperatorServer;
   base::Time mNextJoin{};
   base::Time mLeaderLastKnownAt{};
+  /** From the newest reply to a join request. */
+  coordination::consensus::Membership mAnsweredMembership;
+  std::string mSeekingState; ///< as last logged
+  LogLimit mSeekingLimit;
+  base::Time mSeekingSince{};
   /** Links of entries and agents; used by the decision thread only. */
   std::unordered_map<std::uint64_t, transport::LinkPtr> mSessions;
   EventLoop mLoop;
--- a/dogwooddrum/daemon/Daemon.cpp
+++ b/dogwooddrum/daemon/Daemon.cpp
@@ -30,6 +30,25 @@
   return kStartFailed;
 }
 
+/** Logs what the settings give as addresses of the control group. */
+void
+LogControlAddresses(const service::Settings& aSettings)
+{
+  const std::vector<service::Address>* addresses = &aSettings.mControl.mSeeds;
+  if (aSettings.mCommon.mRole == service::Role::Entry) {
+    addresses = &aSettings.mEntry.mControlAddresses;
+  } else if (aSettings.mCommon.mRole == service::Role::Agent) {
+    addresses = &aSettings.mAgent.mControlAddresses;
+  }
+  std::string text;
+  for (const auto& address : *addresses) {
+    text += (text.empty() ? "" : " ") + service::ToString(address);
+  }
+  service::Log(LogEvent::ControlAddresses,
+               { { "role", service::ToString(aSettings.mCommon.mRole) },
+                 { "addresses", text.empty() ? "none" : text } });
+}
+
 /** Waits for a signal, at most aTimeout. Returns it, or 0 if none came. */
 int
 WaitForSignal(const sigset_t& aSignals, base::Duration aTimeout)
@@ -204,6 +223,7 @@
       return;
     }
     service::Log(LogEvent::Reloaded, { { "file", mSettingsFile } });
+    LogControlAddresses(*settings);
     mHost->Reload(*settings);
   }
 
@@ -277,6 +297,8 @@
   if (!settings) {
     std::fprintf(
       stderr, "dogwooddrumd: %s\n", settings.LastFailure().mMessage.c_str());
+    // The settings that name the log file are not valid.
+    RefuseStart(settings.LastFailure().mMessage);
     return service::kUsageErrorExitStatus;
   }
   const auto& common = settings->mCommon;
@@ -305,6 +327,7 @@
                { { "role", service::ToString(common.mRole) },
                  { "name", common.mName },
                  { "version", "0.1.0" } });
+  LogControlAddresses(*settings);
   context.mSettings = *settings;
   service::Metrics metrics;
   transport::LinkCounters counters;
--- a/dogwooddrum/daemon/JoinLinks.cpp
+++ b/dogwooddrum/daemon/JoinLinks.cpp
@@ -1,20 +1,33 @@
 #include "dogwooddrum/daemon/JoinLinks.h"
 
+#include "dogwooddrum/daemon/Clock.h"
 #include "dogwooddrum/protocol/Codec.h"
 #include "dogwooddrum/protocol/WorkloadMessages.h"
 
 namespace dogwooddrum::daemon {
 
+namespace {
+
+std::string
+ToText(const transport::Address& aAddress)
+{
+  return aAddress.mHost + ":" + std::to_string(aAddress.mPort);
+}
+
+} // namespace
+
 JoinLinks::JoinLinks(transport::Network& aNetwork,
                      const transport::LinkOptions& aOptions,
                      transport::LinkCounters& aCounters,
                      base::MemberId aSelf,
-                     std::string aSelfAddress)
+                     std::string aSelfAddress,
+                     std::function<void()> aOnSent)
   : mNetwork(aNetwork)
   , mOptions(aOptions)
   , mCounters(aCounters)
   , mSelf(aSelf)
   , mSelfAddress(std::move(aSelfAddress))
+  , mOnSent(std::move(aOnSent))
 {
 }
 
@@ -24,11 +37,12 @@
                    const OnMembership& aOnMembership)
 {
   transport::LinkEvents events;
-  events.mUp = [aRequest](const transport::LinkPtr& aLink) {
+  events.mUp = [aRequest, onSent = mOnSent](const transport::LinkPtr& aLink) {
+    onSent();
     aLink->Send(protocol::MessageType::JoinRequest, aRequest);
   };
   events.mClosed = [](const transport::LinkPtr&, transport::CloseReason) {};
-  events.mFrame = [aOnMembership, knownMembers = mKnownMembers](
+  events.mFrame = [aOnMembership, knownMembers = mKnownMembers, aAddress](
                     const transport::LinkPtr&, const protocol::Frame& aFrame) {
     if (aFrame.mType != protocol::MessageType::JoinReply) {
       return;
@@ -40,6 +54,7 @@
     }
     {
       const std::lock_guard<std::mutex> lock(knownMembers->mMutex);
+      knownMembers->mAnsweredAt[ToText(aAddress)] = Now();
       for (const auto& member : membership->mMembers) {
         knownMembers->mAddresses.insert(member.mAddress);
       }
@@ -60,7 +75,7 @@
     protocol::Encode(protocol::JoinRequest{ mSelf, mSelfAddress });
   std::set<std::string> addresses;
   for (const auto& address : aAddresses) {
-    addresses.insert(address.mHost + ":" + std::to_string(address.mPort));
+    addresses.insert(ToText(address));
   }
   {
     const std::lock_guard<std::mutex> lock(mKnownMembers->mMutex);
@@ -75,13 +90,33 @@
     }
     auto& client = mLinks[text];
     if (client) {
-      client->Send(protocol::MessageType::JoinRequest, request);
+      if (client->Send(protocol::MessageType::JoinRequest, request)) {
+        mOnSent();
+      }
     } else {
       client = Connect(*address, request, aOnMembership);
     }
   }
 }
 
+std::vector<JoinLinkStatus>
+JoinLinks::Status() const
+{
+  std::vector<JoinLinkStatus> status;
+  const std::lock_guard<std::mutex> lock(mKnownMembers->mMutex);
+  for (const auto& [address, client] : mLinks) {
+    JoinLinkStatus link;
+    link.mAddress = address;
+    link.mIsOpen = client && client->IsUp();
+    const auto it = mKnownMembers->mAnsweredAt.find(address);
+    if (it != mKnownMembers->mAnsweredAt.end()) {
+      link.mAnsweredAt = it->second;
+    }
+    status.push_back(std::move(link));
+  }
+  return status;
+}
+
 void
 JoinLinks::CloseLinks()
 {
--- a/dogwooddrum/daemon/JoinLinks.h
+++ b/dogwooddrum/daemon/JoinLinks.h
@@ -11,12 +11,21 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace dogwooddrum::daemon {
 
+/** State of the link to one address that is asked. */
+struct JoinLinkStatus
+{
+  std::string mAddress;
+  bool mIsOpen = false;
+  std::optional<base::Time> mAnsweredAt; ///< newest reply; none: never
+};
+
 /** Thread safety: none; the decision thread owns the object. */
 class JoinLinks
 {
@@ -25,18 +34,23 @@
   using OnMembership =
     std::function<void(const coordination::consensus::Membership&)>;
 
-  /** aNetwork and aCounters must outlive the object. */
-  JoinLinks(transport::Network& aNetwork,
-            const transport::LinkOptions& aOptions,
-            transport::LinkCounters& aCounters,
-            base::MemberId aSelf,
-            std::string aSelfAddress);
+  /** aNetwork and aCounters must outlive the object. aOnSent is called on any
+   * thread for each request that is sent. */
+  JoinLinks(
+    transport::Network& aNetwork,
+    const transport::LinkOptions& aOptions,
+    transport::LinkCounters& aCounters,
+    base::MemberId aSelf,
+    std::string aSelfAddress,
+    std::function<void()> aOnSent = [] {});
 
   /** Sends a join request to aAddresses and to the members named in their
    * replies, except this process. Call repeatedly: only the leader, which need
    * not be among aAddresses, acts on a request, and requests expire. */
   void RequestJoin(const std::vector<transport::Address>& aAddresses,
                    const OnMembership& aOnMembership);
+  /** Returns the addresses that are asked. */
+  std::vector<JoinLinkStatus> Status() const;
   /** Closes the links until the next RequestJoin. */
   void CloseLinks();
   void Stop();
@@ -52,12 +66,14 @@
   transport::LinkCounters& mCounters;
   const base::MemberId mSelf;
   const std::string mSelfAddress;
+  const std::function<void()> mOnSent;
   std::map<std::string, std::unique_ptr<transport::LinkClient>> mLinks;
-  /** Addresses of members from replies, written by network threads. */
+  /** What replies contained, written by network threads. */
   struct KnownMembers
   {
     std::mutex mMutex;
     std::set<std::string> mAddresses;
+    std::map<std::string, base::Time> mAnsweredAt; ///< by the address asked
   };
   std::shared_ptr<KnownMembers> mKnownMembers =
     std::make_shared<KnownMembers>();
--- a/dogwooddrum/daemon/OperatorServer.cpp
+++ b/dogwooddrum/daemon/OperatorServer.cpp
@@ -85,7 +85,13 @@
              mProtocol.Redirect({ leader->mHost, mPort }, aRequest),
              "redirected");
     } else {
-      Answer(call, mProtocol.Unavailable(), "no_leader");
+      const auto leaderlessMs =
+        base::ToMilliseconds(mCore->Status().LeaderlessTime(Now()));
+      Answer(call,
+             mProtocol.Unavailable("no leader known for " +
+                                   std::to_string(leaderlessMs) + " ms"),
+             "no_leader",
+             { { "leaderless_ms", leaderlessMs } });
     }
     return;
   }
@@ -100,15 +106,18 @@
 void
 OperatorServer::Answer(const Call& aCall,
                        transport::ServerResponse aResponse,
-                       const char* aReason)
+                       const char* aReason,
+                       const std::vector<service::LogField>& aFields)
 {
-  service::Log(
-    service::LogEvent::OperatorAnswered,
-    { { "call", aCall.mIsReplacement ? "replace" : "read" },
-      { "version", aCall.mVersion.Value() },
-      { "status", aResponse.mStatus },
-      { "reason", aReason },
-      { "waited_ms", base::ToMilliseconds(Now() - aCall.mReceivedAt) } });
+  std::vector<service::LogField> fields = {
+    { "call", aCall.mIsReplacement ? "replace" : "read" },
+    { "version", aCall.mVersion.Value() },
+    { "status", aResponse.mStatus },
+    { "reason", aReason },
+    { "waited_ms", base::ToMilliseconds(Now() - aCall.mReceivedAt) }
+  };
+  fields.insert(fields.end(), aFields.begin(), aFields.end());
+  service::Log(service::LogEvent::OperatorAnswered, fields);
   aCall.mResponder(std::move(aResponse));
 }
 
@@ -126,7 +135,7 @@
 OperatorServer::OnLeadershipLost()
 {
   for (const auto& [id, call] : mCalls) {
-    Answer(call, mProtocol.Unavailable(), "leadership_lost");
+    Answer(call, mProtocol.Unavailable(""), "leadership_lost");
   }
   mCalls.clear();
 }
@@ -136,7 +145,7 @@
 {
   for (auto it = mCalls.begin(); it != mCalls.end();) {
     if (aNow - it->second.mReceivedAt >= kCallTimeout) {
-      Answer(it->second, mProtocol.Unavailable(), "timed_out");
+      Answer(it->second, mProtocol.Unavailable(""), "timed_out");
       it = mCalls.erase(it);
     } else {
       ++it;
--- a/dogwooddrum/daemon/OperatorServer.h
+++ b/dogwooddrum/daemon/OperatorServer.h
@@ -7,10 +7,12 @@
 #include "dogwooddrum/daemon/Adapters.h"
 #include "dogwooddrum/daemon/ControlCore.h"
 #include "dogwooddrum/daemon/EventLoop.h"
+#include "dogwooddrum/service/LogEvents.h"
 #include "dogwooddrum/transport/Network.h"
 
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace dogwooddrum::daemon {
 
@@ -56,10 +58,11 @@
   void ForwardToCore(const transport::ServerRequest& aRequest,
                      protocol::WorkloadRequestBody aBody,
                      const transport::ServerResponder& aResponder);
-  /** Logs the answer and sends it. */
+  /** Logs the answer with aFields and sends it. */
   static void Answer(const Call& aCall,
                      transport::ServerResponse aResponse,
-                     const char* aReason);
+                     const char* aReason,
+                     const std::vector<service::LogField>& aFields = {});
 
   transport::Network& mNetwork;
   const OperatorProtocol& mProtocol;
--- a/dogwooddrum/daemon/PeerLinks.cpp
+++ b/dogwooddrum/daemon/PeerLinks.cpp
@@ -57,6 +57,13 @@
   }
 }
 
+bool
+PeerLinks::IsOpen(base::MemberId aMember) const
+{
+  const auto it = mPeers.find(aMember);
+  return it != mPeers.end() && it->second.mClient->IsUp();
+}
+
 void
 PeerLinks::Stop()
 {
--- a/dogwooddrum/daemon/PeerLinks.h
+++ b/dogwooddrum/daemon/PeerLinks.h
@@ -30,6 +30,8 @@
   /** Sends aMessage to its receiver. The message is dropped if the link is not
    * open. */
   void Send(const coordination::consensus::Message& aMessage);
+  /** Returns whether the link to aMember is open. */
+  bool IsOpen(base::MemberId aMember) const;
   void Stop();
 
 private:
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -54,7 +54,7 @@
       LogLevel::Error,
       "start_refused",
       "refused to start: {message}",
-      "A key file, the data folder or a port cannot be used.",
+      "The settings, a key file, the data folder or a port cannot be used.",
       "Correct what the message names and start again." },
     { LogEvent::Reloaded,
       LogLevel::Info,
@@ -69,6 +69,13 @@
       "SIGHUP arrived, but the settings file cannot be used; the earlier "
       "settings stay.",
       "Correct what the message names and send SIGHUP again." },
+    { LogEvent::ControlAddresses,
+      LogLevel::Info,
+      "control_addresses",
+      "addresses of the control group in the settings: {addresses}",
+      "Logged at the start and at each reload; for a control member, the "
+      "seeds.",
+      "Check the addresses if the process does not find the group." },
   };
 }
 
@@ -118,13 +125,6 @@
       "configuration {version} is current",
       "Polls are answered again.",
       "Nothing." },
-  };
-}
-
-std::vector<LogEventInfo>
-ConsensusEvents()
-{
-  return {
     { LogEvent::NoRoute,
       LogLevel::Warning,
       "no_route",
@@ -133,6 +133,13 @@
       "with the state of its link, and the last redirect.",
       "Without an open link check the network; else see leader_unknown in"
       " the logs of the members." },
+  };
+}
+
+std::vector<LogEventInfo>
+ConsensusEvents()
+{
+  return {
     { LogEvent::LeaderElected,
       LogLevel::Info,
       "leader_elected",
@@ -142,7 +149,7 @@
     { LogEvent::LeaderLost,
       LogLevel::Warning,
       "leader_lost",
-      "member {member} no longer leads, term {term}",
+      "member {member} no longer leads, term {term}: {reason}",
       "This member lost contact with a quorum or saw a newer term.",
       "If it repeats, check the links between the control members." },
     { LogEvent::LeadershipTransferred,
@@ -199,6 +206,46 @@
       "log sync took {duration_ms} ms",
       "The disk is slow; every commit waits for it.",
       "Check the disk and what else uses it." },
+    { LogEvent::LeaderUnknown,
+      LogLevel::Warning,
+      "leader_unknown",
+      "member {member} has known no leader for {for_ms} ms: {role} of "
+      "term {term}",
+      "Repeated each second. The fields name the end of the log, the "
+      "membership, and for each other voter its link, the age of its "
+      "newest message and its answer to the newest vote request.",
+      "Without links check the network; for refused votes see "
+      "vote_refused in the logs of the other members." },
+    { LogEvent::VoteRefused,
+      LogLevel::Info,
+      "vote_refused",
+      "{kind} for member {candidate} in term {term} refused: {reason}",
+      "At most once a second for each candidate. For hears_leader no "
+      "answer is sent.",
+      "If it repeats for hears_leader, check the link from the leader to "
+      "the candidate." },
+    { LogEvent::RepairProposed,
+      LogLevel::Info,
+      "repair_proposed",
+      "membership change proposed: {change}",
+      "The leader replaces a lost member or adds one.",
+      "Check a removed member that was not expected to fail." },
+    { LogEvent::JoinNotServed,
+      LogLevel::Warning,
+      "join_not_served",
+      "join requests not served: {requests}",
+      "Repeated each second while a process has asked for more than a "
+      "second. The reason follows each request.",
+      "See the reason." },
+    { LogEvent::SeekingGroup,
+      LogLevel::Warning,
+      "seeking_group",
+      "member {member} seeks its group: {links}",
+      "The process is not a voter or has known no leader for 4 s. "
+      "Repeated each second, but only on changes if the members that "
+      "answer need no further voter.",
+      "Without open links check the addresses and the network; else see "
+      "join_not_served in the log of the leader." },
   };
 }
 
@@ -329,6 +376,22 @@
       "runs not listed: {message}",
       "A lease renewal failed; it is repeated.",
       "Check the target if it repeats." },
+    { LogEvent::IncarnationEnded,
+      LogLevel::Info,
+      "incarnation_ended",
+      "target {target} started at {start_ms} has ended: {message} with "
+      "sequence {sequence}",
+      "A message of the target ended this incarnation at the agent; gone "
+      "has no sequence. The field next names the present incarnation.",
+      "Nothing." },
+    { LogEvent::AnnouncementDropped,
+      LogLevel::Info,
+      "announcement_dropped",
+      "{message} of target {target} with sequence {sequence} dropped: "
+      "{reason}",
+      "A message of a target was outdated and is ignored. At most once a "
+      "second.",
+      "Nothing." },
   };
 }
 
@@ -386,22 +449,6 @@
       "target {target} of {agent} accepts work for {pool} on rack {rack}",
       "A target was reported to this leader.",
       "Nothing." },
-    { LogEvent::IncarnationEnded,
-      LogLevel::Info,
-      "incarnation_ended",
-      "target {target} started at {start_ms} has ended: {message} with "
-      "sequence {sequence}",
-      "A message of the target ended this incarnation at the agent; gone "
-      "has no sequence. The field next names the present incarnation.",
-      "Nothing." },
-    { LogEvent::AnnouncementDropped,
-      LogLevel::Info,
-      "announcement_dropped",
-      "{message} of target {target} with sequence {sequence} dropped: "
-      "{reason}",
-      "A message of a target was outdated and is ignored. At most once a "
-      "second.",
-      "Nothing." },
     { LogEvent::WorkerLeft,
       LogLevel::Info,
       "worker_left",
@@ -444,7 +491,8 @@
       "operator_answered",
       "{call} of catalog {version}: {status} {reason} after {waited_ms} ms",
       "A control member answered an operator.",
-      "redirected names the leader; for invalid see the response." },
+      "redirected names the leader; for invalid see the response; for "
+      "no_leader see leader_unknown." },
   };
 }
 
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -39,6 +39,7 @@
   StartRefused = 107,
   Reloaded = 108,
   ReloadFailed = 109,
+  ControlAddresses = 110,
   // Links and requests.
   LinkUp = 200,
   LinkDown = 201,
@@ -47,8 +48,8 @@
   RequestRefused = 204,
   ConfigurationStale = 205,
   ConfigurationFresh = 206,
-  // Consensus and storage.
   NoRoute = 207,
+  // Consensus and storage.
   LeaderElected = 300,
   LeaderLost = 301,
   LeadershipTransferred = 302,
@@ -60,6 +61,11 @@
   LogCorrupt = 308,
   StorageFailed = 309,
   SyncSlow = 310,
+  LeaderUnknown = 311,
+  VoteRefused = 312,
+  RepairProposed = 313,
+  JoinNotServed = 314,
+  SeekingGroup = 315,
   // Jobs and configuration.
   JobEnded = 400,
   AttemptStarted = 401,
@@ -81,6 +87,8 @@
   OrderSent = 510,
   OrderFailed = 511,
   ListingFailed = 512,
+  IncarnationEnded = 513,
+  AnnouncementDropped = 514,
   // Workloads.
   WorkloadAccepted = 600,
   WorkloadRejected = 601,
@@ -88,8 +96,6 @@
   RunStarted = 603,
   RunStopped = 604,
   RunEnded = 605,
-  IncarnationEnded = 513,
-  AnnouncementDropped = 514,
   WorkloadEnded = 606,
   WorkerJoined = 607,
   WorkerLeft = 608,
--- a/tests/error/JoinThroughFollower.cpp
+++ b/tests/error/JoinThroughFollower.cpp
@@ -62,14 +62,26 @@
     network, { "127.0.0.1", 0 }, MakeOptions(2), seedEvents, counters, 10);
   ASSERT_TRUE(seed);
 
+  std::atomic<int> requestsSent{ 0 };
   daemon::JoinLinks links(
-    network, MakeOptions(3), counters, base::MemberId(3), "127.0.0.1:1");
+    network, MakeOptions(3), counters, base::MemberId(3), "127.0.0.1:1", [&] {
+      ++requestsSent;
+    });
   for (int i = 0; i < 100 && requestsAtLeader == 0; ++i) {
     links.RequestJoin({ { "127.0.0.1", (*seed)->Port() } },
                       [](const coordination::consensus::Membership&) {});
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
   EXPECT_GT(requestsAtLeader, 0);
+  EXPECT_GT(requestsSent, 1);
+  // The log names whom the process asks, and who has answered.
+  const auto status = links.Status();
+  ASSERT_EQ(status.size(), 2U);
+  for (const auto& link : status) {
+    const bool isSeed = link.mAddress == AddressOf(**seed);
+    EXPECT_TRUE(link.mIsOpen) << link.mAddress;
+    EXPECT_EQ(link.mAnsweredAt.has_value(), isSeed) << link.mAddress;
+  }
   links.Stop();
   (*seed)->Stop();
   (*leader)->Stop();
--- a/tests/error/check-config.sh
+++ b/tests/error/check-config.sh
@@ -22,5 +22,7 @@
   expect $? 2 "unknown key ${option:-without an option}"
   grep -q "e.ini: section \[common\], key \"http_prt\", value \"1\": allowed is" "$folder/out"
   expect $? 0 "message"
+  [ -n "$option" ] || grep -q "event=107 name=start_refused.*http_prt" "$folder/out"
+  expect $? 0 "numbered event of a refused start"
 done
 [ ! -e "$folder/log" ] || { echo "the log file was opened"; exit 1; }
