--- a/dogwooddrum/daemon/Daemon.cpp
+++ b/dogwooddrum/daemon/Daemon.cpp
@@ -31,6 +31,26 @@
   return kStartFailed;
 }
 
+/** Logs what the settings give as addresses of the control group. */
+void
+LogControlAddresses(const service::Settings& aSettings)
+{
+  auto addresses =
+    aSettings.mControl.mSeeds.value_or(std::vector<service::Address>());
+  if (aSettings.mCommon.mRole == service::Role::Entry) {
+    addresses = aSettings.mEntry.mControlAddresses;
+  } else if (aSettings.mCommon.mRole == service::Role::Agent) {
+    addresses = aSettings.mAgent.mControlAddresses;
+  }
+  std::string text;
+  for (const auto& address : addresses) {
+    text += (text.empty() ? "" : " ") + service::ToString(address);
+  }
+  service::Log(LogEvent::ControlAddresses,
+               { { "role", service::ToString(aSettings.mCommon.mRole) },
+                 { "addresses", text.empty() ? "none" : text } });
+}
+
 /** Waits for a signal, at most aTimeout. Returns it, or 0 if none came. */
 int
 WaitForSignal(const sigset_t& aSignals, base::Duration aTimeout)
@@ -221,6 +241,7 @@
       return;
     }
     service::Log(LogEvent::Reloaded, { { "file", mSettingsFile } });
+    LogControlAddresses(*settings);
     mHost->Reload(*settings);
   }
 
@@ -299,6 +320,8 @@
   if (!settings) {
     std::fprintf(
       stderr, "dogwooddrumd: %s\n", settings.LastFailure().mMessage.c_str());
+    // The settings that name the log file are not valid.
+    RefuseStart(settings.LastFailure().mMessage);
     return service::kUsageErrorExitStatus;
   }
   const auto& common = settings->mCommon;
@@ -327,6 +350,7 @@
                { { "role", service::ToString(common.mRole) },
                  { "name", common.mName },
                  { "version", "0.1.0" } });
+  LogControlAddresses(*settings);
   context.mSettings = *settings;
   service::Metrics metrics;
   transport::LinkCounters counters;
