Sync each removal of a log segment before the next one

In a group that loses another disk at the same time, no leader is elected.

A loss of power may keep the removal of a segment and lose that of an older one. Recovery refuses the gap.

Change: Storage syncs the folder after each removal, so only the oldest segments can be gone. A start then always finds consecutive segments.

--- a/dogwooddrum/state/Storage.cpp
+++ b/dogwooddrum/state/Storage.cpp
@@ -299,13 +299,21 @@
     return mFiles.Remove(Path(SnapshotName(previous)));
   }
 
-  /** Removes leading segments whose entries the snapshot covers. */
+  /**
+   * Removes leading segments whose entries the snapshot covers. Each removal is
+   * synced before the next one: a loss of power could otherwise keep the
+   * removal of a segment and lose that of an older one, and recovery refuses
+   * such a gap.
+   */
   base::Outcome<bool> RemoveCoveredSegments()
   {
     while (mSegments.size() > 1 &&
            mSegments.front().mLastIndex <= mSnapshotIndex) {
       auto removed =
         mFiles.Remove(Path(SegmentName(mSegments.front().mNumber)));
+      if (removed) {
+        removed = mFiles.SyncFolder(mOptions.mFolder);
+      }
       if (!removed) {
         return removed;
       }
