Let a seed that was never founded rejoin under a new id

What is seen: a seed loses power during its first start, after the identity file and before the founding file. It restarts with bootstrap set to false, keeps the seed id, which the other seeds count as a voter, and has an empty membership. It acknowledges entries but never stands for election, so the group can lose its only member that may.

Cause: ResolveMemberSettings takes the id on the disk even if the founding file, which gives the id its membership, was never completed.

Change: an id without a founding file is removed from the disk, durably, unless it is the one that the start would choose anyway. The member then joins like one with an empty disk. A member writes its term before it votes or acknowledges, and consensus starts only after the founding file is durable, so an id that is removed has done neither.

A log with a vote but no founding file is still refused.

--- a/dogwooddrum/daemon/DataFolder.cpp
+++ b/dogwooddrum/daemon/DataFolder.cpp
@@ -160,8 +160,8 @@
   if (!founded) {
     return founded.LastFailure();
   }
-  const auto identity =
-    state::ReadIdentity(aFiles, settings.mDataFolder + kLogFolder);
+  const std::string logFolder = settings.mDataFolder + kLogFolder;
+  auto identity = state::ReadIdentity(aFiles, logFolder);
   if (!identity) {
     return identity.LastFailure();
   }
@@ -169,15 +169,22 @@
   if (!isBootstrapping) {
     settings.mPeers.clear();
   }
-  if (*identity) {
-    settings.mMemberId = **identity;
-  } else {
-    settings.mMemberId =
-      isBootstrapping ? SeedMemberId(aCommon.mBindAddress) : RandomMemberId();
+  const base::MemberId newId =
+    isBootstrapping ? SeedMemberId(aCommon.mBindAddress) : RandomMemberId();
+  if (*identity && !*founded && **identity != newId) {
+    // An earlier start ended before the founding file was written. Under its
+    // old id, a seed would count as a voter for the others, but without the
+    // initial membership it would never stand for election.
+    const auto removed = state::RemoveUnusedIdentity(aFiles, logFolder);
+    if (!removed) {
+      return removed.LastFailure();
+    }
+    *identity = std::nullopt;
   }
+  settings.mMemberId = *identity ? **identity : newId;
   if (isBootstrapping) {
     state::StorageOptions options;
-    options.mFolder = settings.mDataFolder + kLogFolder;
+    options.mFolder = logFolder;
     const auto log = state::Storage::Open(aFiles, options, settings.mMemberId);
     if (!log) {
       return log.LastFailure();
--- a/dogwooddrum/daemon/DataFolder.h
+++ b/dogwooddrum/daemon/DataFolder.h
@@ -51,10 +51,12 @@
 
 /**
  * Returns aSettings with the member id, and the initial members if this member
- * bootstraps the group. The id is the one on the disk if there is one. A seed
- * with bootstrap and an empty disk gets an id derived from its address, and its
- * data folder is initialized. Any other member gets a random id, with which it
- * must ask to join. Precondition: aSettings names seeds.
+ * bootstraps the group. The id is the one on the disk if the founding file is
+ * complete. Otherwise, a seed with bootstrap gets an id derived from its
+ * address, and its data folder is initialized; any other member gets a random
+ * id, with which it must ask to join. An id that an interrupted start left on
+ * the disk is removed; fails if the log shows that it was in use.
+ * Precondition: aSettings names seeds.
  */
 base::Outcome<service::ControlSettings>
 ResolveMemberSettings(state::FileSystem& aFiles,
--- a/dogwooddrum/state/Storage.cpp
+++ b/dogwooddrum/state/Storage.cpp
@@ -369,6 +369,36 @@
   return std::optional<base::MemberId>();
 }
 
+base::Outcome<bool>
+RemoveUnusedIdentity(FileSystem& aFiles, const std::string& aFolder)
+{
+  const auto recovered = Recover(aFiles, aFolder);
+  if (!recovered) {
+    return recovered.LastFailure();
+  }
+  // A member writes its term before it votes and before it acknowledges an
+  // entry, so a log without a term proves that it has done neither.
+  const consensus::RecoveredState& state = recovered->mState;
+  if (state.mHardState.mTerm != base::Term() || !state.mEntries.empty() ||
+      state.mSnapshot) {
+    return StorageFailure(aFolder + ": the log is in use by its member");
+  }
+  // The identity goes last: a log without it is refused.
+  base::Outcome<bool> done = true;
+  for (const Segment& segment : recovered->mSegments) {
+    if (done) {
+      done = aFiles.Remove(aFolder + "/" + SegmentName(segment.mNumber));
+    }
+  }
+  if (done) {
+    done = aFiles.SyncFolder(aFolder);
+  }
+  if (done) {
+    done = aFiles.Remove(aFolder + "/" + std::string(kIdentityName));
+  }
+  return done ? aFiles.SyncFolder(aFolder) : done;
+}
+
 base::Outcome<std::unique_ptr<Storage>>
 Storage::Open(FileSystem& aFiles,
               const StorageOptions& aOptions,
--- a/dogwooddrum/state/Storage.h
+++ b/dogwooddrum/state/Storage.h
@@ -40,6 +40,15 @@
 base::Outcome<std::optional<base::MemberId>>
 ReadIdentity(FileSystem& aFiles, const std::string& aFolder);
 
+/**
+ * Removes the log and the identity from a data folder whose member has never
+ * voted and never acknowledged an entry; the folder may then get a new member
+ * id. Durable when it returns. Fails with StorageFailed if the log has a term,
+ * entries or a snapshot. Thread safe.
+ */
+base::Outcome<bool>
+RemoveUnusedIdentity(FileSystem& aFiles, const std::string& aFolder);
+
 /** Truncated end of a log whose last write was interrupted by a crash. */
 struct TornTail
 {
