--- a/dogwooddrum/state/Storage.cpp
+++ b/dogwooddrum/state/Storage.cpp
@@ -299,13 +299,21 @@
     return mFiles.Remove(Path(SnapshotName(previous)));
   }
 
-  /** Removes leading segments whose entries the snapshot covers. */
+  /**
+   * Removes leading segments whose entries the snapshot covers. Each removal is
+   * synced before the next one: a loss of power could otherwise keep the
+   * removal of a segment and lose that of an older one, and recovery refuses
+   * such a gap.
+   */
   base::Outcome<bool> RemoveCoveredSegments()
   {
     while (mSegments.size() > 1 &&
            mSegments.front().mLastIndex <= mSnapshotIndex) {
       auto removed =
         mFiles.Remove(Path(SegmentName(mSegments.front().mNumber)));
+      if (removed) {
+        removed = mFiles.SyncFolder(mOptions.mFolder);
+      }
       if (!removed) {
         return removed;
       }
@@ -361,6 +369,36 @@
   return std::optional<base::MemberId>();
 }
 
+base::Outcome<bool>
+RemoveUnusedIdentity(FileSystem& aFiles, const std::string& aFolder)
+{
+  const auto recovered = Recover(aFiles, aFolder);
+  if (!recovered) {
+    return recovered.LastFailure();
+  }
+  // A member writes its term before it votes and before it acknowledges an
+  // entry, so a log without a term proves that it has done neither.
+  const consensus::RecoveredState& state = recovered->mState;
+  if (state.mHardState.mTerm != base::Term() || !state.mEntries.empty() ||
+      state.mSnapshot) {
+    return StorageFailure(aFolder + ": the log is in use by its member");
+  }
+  // The identity goes last: a log without it is refused.
+  base::Outcome<bool> done = true;
+  for (const Segment& segment : recovered->mSegments) {
+    if (done) {
+      done = aFiles.Remove(aFolder + "/" + SegmentName(segment.mNumber));
+    }
+  }
+  if (done) {
+    done = aFiles.SyncFolder(aFolder);
+  }
+  if (done) {
+    done = aFiles.Remove(aFolder + "/" + std::string(kIdentityName));
+  }
+  return done ? aFiles.SyncFolder(aFolder) : done;
+}
+
 base::Outcome<std::unique_ptr<Storage>>
 Storage::Open(FileSystem& aFiles,
               const StorageOptions& aOptions,
