--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -233,6 +233,14 @@
   mWorkers[aWorker]->mNextAnnounce = mNowMs;
 }
 
+void
+WorkloadSimulation::DeliverDelete(std::size_t aWorker)
+{
+  const auto& target = *mWorkers[aWorker]->mTarget;
+  mWorkers[aWorker]->mAgent->OnLeft(
+    target.mTargetInfo.mTargetIncarnation.mInstance);
+}
+
 void
 WorkloadSimulation::ReclaimVm(std::size_t aWorker, std::int64_t aStaysMs)
 {
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -70,6 +70,9 @@
    * has another id and no run. */
   void RestartVm(std::size_t aWorker);
   void AnnounceLeave(std::size_t aWorker);
+  /** Delivers the message of a target's planned end, which names only the
+   * instance, to the agent. The target itself runs on until KillTarget. */
+  void DeliverDelete(std::size_t aWorker);
   /** Announces that the worker leaves, and removes its VM with the target and
    * the agent after aStaysMs. */
   void ReclaimVm(std::size_t aWorker, std::int64_t aStaysMs);
