Keep the runs of a target whose DELETE has come until it refuses connections

Callers saw: two tasks of two workloads ran on one target, and at the same time on two others, where they ended as done (TWICE). The orders were not late.

Cause: the agent took the DELETE of a target for the end of its present incarnation. A target that gets no answer to its DELETE, as when the agent's process ends before it has answered, runs on for seconds, and a DELETE names only the id, so that a late one ended the next incarnation of the id. In both cases the leader gave up all runs on the target at once and started them elsewhere.

Change: after a DELETE the target gets no starts. Its runs are given up once the target refuses a connection that the agent opens later, that is, once no process listens there; until then they end by a listed end or with their lease. An announcement as ready shows that the DELETE was late, and ends the pause.

--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -60,7 +60,12 @@
     if (aSequence <= mAnnounceSequence) {
       return false;
     }
-    const bool changed = !HasSameInfo(*mTarget, aTargetInfo);
+    const bool isLateLeaveMessage = mLeaveMessageAt && !aTargetInfo.mLeaving;
+    if (isLateLeaveMessage) {
+      mLeaveMessageAt.reset(); // it was of an earlier incarnation
+    }
+    const bool changed =
+      isLateLeaveMessage || !HasSameInfo(*mTarget, aTargetInfo);
     mAnnounceSequence = aSequence;
     mAnnouncedAt = aNow;
     const bool wasLeaving = mTarget->mLeaving;
@@ -83,6 +88,27 @@
   return true;
 }
 
+void
+WorkerAgent::OnLeaveMessage(const std::string& aInstance, base::Time aNow)
+{
+  if (mTarget && mTarget->mTargetIncarnation.mInstance == aInstance) {
+    mLeaveMessageAt = aNow;
+  }
+}
+
+bool
+WorkerAgent::OnConnectionRefused(
+  const protocol::TargetIncarnation& aTargetIncarnation,
+  base::Time aCalledAt)
+{
+  if (!mTarget || mTarget->mTargetIncarnation != aTargetIncarnation ||
+      !mLeaveMessageAt || aCalledAt < *mLeaveMessageAt) {
+    return false;
+  }
+  ResetTarget();
+  return true;
+}
+
 void
 WorkerAgent::OnLeft(const std::string& aInstance)
 {
@@ -103,6 +129,7 @@
     }
   }
   mTarget.reset();
+  mLeaveMessageAt.reset();
   mAnnounceSequence = 0;
   // With a higher token, the first renewal of the next incarnation fences late
   // orders to this incarnation, before the leader has a report of the next one.
@@ -238,7 +265,7 @@
         mInFlight.count(run) > 0 || mStops.count(run) > 0) {
       continue;
     }
-    if (mTarget->mLeaving) {
+    if (mTarget->mLeaving || mLeaveMessageAt) {
       start.mRejected = true;
       start.mReason = "the target is leaving";
       mStops.emplace(run, StopState());
@@ -346,6 +373,9 @@
   report.mSequence = ++mReportSequence;
   report.mSentAtUs = aNow.time_since_epoch().count();
   report.mTarget = mTarget;
+  if (mLeaveMessageAt) {
+    report.mTarget->mLeaving = true;
+  }
   if (mTarget && mTarget->mRemainingMs > 0) {
     // The leader counts from the report on, not from the announcement.
     const std::int64_t left = static_cast<std::int64_t>(mTarget->mRemainingMs) -
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -72,6 +72,17 @@
   bool OnAnnounced(const protocol::TargetInfo& aTargetInfo,
                    std::uint64_t aSequence,
                    base::Time aNow);
+  /** Handles a message of the instance that its planned end has come. No run
+   * is given up yet: the message names no incarnation, so that it may be a late
+   * one, and a target that gets no answer to it runs on for seconds. Until the
+   * target announces that it is ready, it gets no starts. */
+  void OnLeaveMessage(const std::string& aInstance, base::Time aNow);
+  /** Handles a refused connection to the target, called at aCalledAt. Returns
+   * whether this shows that the target has ended, as its planned end had come
+   * before. */
+  bool OnConnectionRefused(
+    const protocol::TargetIncarnation& aTargetIncarnation,
+    base::Time aCalledAt);
   /** Handles the end of the instance's present incarnation. */
   void OnLeft(const std::string& aInstance);
   /** Replaces the orders by newer ones of the leader; older ones are ignored.
@@ -131,6 +142,7 @@
   std::optional<protocol::TargetInfo> mTarget;
   std::uint64_t mAnnounceSequence = 0; ///< newest from mTarget
   base::Time mAnnouncedAt;
+  std::optional<base::Time> mLeaveMessageAt; ///< see OnLeaveMessage
   std::vector<protocol::EndedIncarnation> mEndedIncarnations;
 
   base::Term mTerm;
--- a/dogwooddrum/daemon/WorkloadAgentHost.cpp
+++ b/dogwooddrum/daemon/WorkloadAgentHost.cpp
@@ -311,7 +311,8 @@
     bool changed = true;
     const std::lock_guard<std::mutex> lock(mMutex);
     if (aAnnounced.mHasLeft) {
-      mAgent.OnLeft(aAnnounced.mTargetInfo.mTargetIncarnation.mInstance);
+      mAgent.OnLeaveMessage(aAnnounced.mTargetInfo.mTargetIncarnation.mInstance,
+                            Now());
     } else {
       changed =
         mAgent.OnAnnounced(aAnnounced.mTargetInfo, aAnnounced.mSequence, Now());
@@ -321,7 +322,7 @@
     }
     const char* state = "ready";
     if (aAnnounced.mHasLeft) {
-      state = "gone";
+      state = "ends";
     } else if (aAnnounced.mTargetInfo.mLeaving) {
       state = "leaving";
     }
@@ -428,6 +429,9 @@
     if (!listing) {
       service::Log(LogEvent::ListingFailed,
                    { { "message", listing.LastFailure().mMessage } });
+      if (outcome.mRefused) {
+        OnConnectionRefused(renewal->mTargetIncarnation, begin);
+      }
       return kRenewalRetry;
     }
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -445,6 +449,17 @@
     return now - begin < kRenewalPause ? kRenewalPause : base::Duration::zero();
   }
 
+  void OnConnectionRefused(const protocol::TargetIncarnation& aTarget,
+                           base::Time aCalledAt)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mAgent.OnConnectionRefused(aTarget, aCalledAt)) {
+      service::Log(LogEvent::TargetAnnounced,
+                   { { "target", aTarget.mInstance }, { "state", "gone" } });
+      SendReportLocked(Now());
+    }
+  }
+
   base::Duration SendNextOrder(transport::HttpClient* aClient)
   {
     std::optional<OrderCall> call;
--- a/dogwooddrum/transport/HttpClient.cpp
+++ b/dogwooddrum/transport/HttpClient.cpp
@@ -83,6 +83,7 @@
                      mOptions.mIp + ":" + std::to_string(mOptions.mPort) +
                        ": " + std::string(aWhat) + ": " + aEc.message() });
     outcome.mMayHaveBeenSent = mMayHaveBeenSent;
+    outcome.mRefused = aEc == asio::error::connection_refused;
     return outcome;
   }
 
--- a/dogwooddrum/transport/HttpClient.h
+++ b/dogwooddrum/transport/HttpClient.h
@@ -45,6 +45,9 @@
   using Outcome::Outcome;
   /** For a failure: whether any byte of the request may have been sent. */
   bool mMayHaveBeenSent = false;
+  /** For a failure: whether the host refused the connection, as it does if no
+   * process listens at the address. */
+  bool mRefused = false;
 };
 
 struct HttpClientOptions
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -237,8 +237,8 @@
 WorkloadSimulation::DeliverDelete(std::size_t aWorker)
 {
   const auto& target = *mWorkers[aWorker]->mTarget;
-  mWorkers[aWorker]->mAgent->OnLeft(
-    target.mTargetInfo.mTargetIncarnation.mInstance);
+  mWorkers[aWorker]->mAgent->OnLeaveMessage(
+    target.mTargetInfo.mTargetIncarnation.mInstance, mNow);
 }
 
 void
@@ -509,6 +509,8 @@
   }
   if (worker.mIsTargetDead) {
     if (mNowMs >= worker.mNextRenewal) {
+      worker.mAgent->OnConnectionRefused(target.mTargetInfo.mTargetIncarnation,
+                                         mNow);
       Report(aWorker);
     }
     return;
