--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t kAnnounceMs = 1500;
 constexpr std::int64_t kMaxOrderDelayMs = 12000;
 constexpr std::uint32_t kMaxAttempts = 3;
+/** Longest lease that a target grants. */
+constexpr std::int64_t kMaxLeaseMs = 6000;
 
 Catalog
 MakeCatalog(std::uint64_t aGuaranteed)
@@ -94,6 +96,7 @@
   bool mFailing = false;
   std::int64_t mVmGoneAt = std::numeric_limits<std::int64_t>::max();
   std::int64_t mStalledUntil = 0;
+  std::int64_t mTargetDownUntil = 0;
   bool mIsTargetDead = false;
 };
 
@@ -205,6 +208,19 @@
   worker.mSequence = 0;
 }
 
+void
+WorkloadSimulation::RestartTargetSlowly(std::size_t aWorker,
+                                        std::int64_t aDownMs,
+                                        std::int64_t aSilentMs)
+{
+  RestartTarget(aWorker);
+  Worker& worker = *mWorkers[aWorker];
+  worker.mTargetDownUntil = mNowMs + aDownMs;
+  worker.mTarget->mClockZero += aDownMs;
+  worker.mTarget->mTargetInfo.mTargetIncarnation.mStartMs += aDownMs;
+  worker.mNextAnnounce = mNowMs + aDownMs + aSilentMs;
+}
+
 void
 WorkloadSimulation::RestartVm(std::size_t aWorker)
 {
@@ -396,7 +412,9 @@
   }
   CheckStart(aWorker, run);
   const std::string id = run.mTask.mWorkload.Value();
-  target.mLeaseUntil = std::max(target.mLeaseUntil, aCall.mLeaseUntilMs);
+  target.mLeaseUntil =
+    std::max(target.mLeaseUntil,
+             std::min(aCall.mLeaseUntilMs, target.Clock(mNowMs) + kMaxLeaseMs));
   Target::Running running;
   running.mRun = run;
   running.mBeganAt = mNowMs;
@@ -444,6 +462,10 @@
 WorkloadSimulation::CallTarget(std::size_t aWorker, const OrderCall& aCall)
 {
   Worker& worker = *mWorkers[aWorker];
+  if (worker.mTargetDownUntil > mNowMs) {
+    worker.mAgent->OnAnswered(aCall, OrderOutcome::Retryable, "refused", mNow);
+    return;
+  }
   if (!HappensWith(mOptions.mFaults.mUnansweredOrders)) {
     const auto outcome = ExecuteOrder(aWorker, aCall);
     worker.mAgent->OnAnswered(aCall, outcome, "rejected", mNow);
@@ -548,13 +570,14 @@
   Worker& worker = *mWorkers[aWorker];
   Target& target = *worker.mTarget;
   const auto renewal = worker.mAgent->NextRenewal(mNow);
-  if (renewal &&
+  if (renewal && worker.mTargetDownUntil <= mNowMs &&
       renewal->mTargetIncarnation == target.mTargetInfo.mTargetIncarnation &&
       renewal->mFencingToken.Value() >= target.mToken) {
     target.mToken = renewal->mFencingToken.Value();
     if (renewal->mLeaseUntilMs) {
-      target.mLeaseUntil =
-        std::max(target.mLeaseUntil, *renewal->mLeaseUntilMs);
+      target.mLeaseUntil = std::max(
+        target.mLeaseUntil,
+        std::min(*renewal->mLeaseUntilMs, target.Clock(mNowMs) + kMaxLeaseMs));
     }
     for (const EndedTask& ended : target.mEnded) {
       if (ended.mNumber <= renewal->mAcknowledged &&
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -66,6 +66,11 @@
   void MakeWorkerFail(std::size_t aWorker);
   void DisconnectAgent(std::size_t aWorker, std::int64_t aForMs);
   void RestartTarget(std::size_t aWorker);
+  /** Restarts a target that answers no call for aDownMs and announces itself
+   * aSilentMs after that. */
+  void RestartTargetSlowly(std::size_t aWorker,
+                           std::int64_t aDownMs,
+                           std::int64_t aSilentMs);
   /** Restarts a VM after a power loss: its agent has no memory, and its target
    * has another id and no run. */
   void RestartVm(std::size_t aWorker);
