Send starts only to a target that was listed within the last second

Callers saw: a task ran on a target that had just restarted under its id and on another one at the same time (TWICE); the agent of the first was cut off.

Cause: an agent repeated a start that its crashed target refused, for as long as its lease from the leader lasted. The next incarnation carried the start out before it had announced itself. An order names only the id, and its deadline is far ahead on the clock of the next incarnation, so that the run got the longest lease, which ends up to 5.5 s after the leader gave the run up.

Change: a start is sent only if the newest list was called within the last second. Lists follow each other without a pause, so that a target that answers gets its starts as before.

Measured: RestartedTargets passes; it failed before. An overlap of up to about a second is still possible if the target restarts within a second and the agent's process ends as well.

--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -213,6 +213,7 @@
                        !HaveSameRuns(mEnded, aEnded);
   mClockMs = aClockMs;
   mClockAt = aNow;
+  mListCalledAt = aCalledAt;
   mRunning = std::move(aRunning);
   mEnded = std::move(aEnded);
   mHasRunLists = true;
@@ -257,7 +258,8 @@
       return call;
     }
   }
-  if (mClockAt == base::Time() || mLeaseUntil - aNow < mOptions.mMinLease) {
+  if (mClockAt == base::Time() || mLeaseUntil - aNow < mOptions.mMinLease ||
+      aNow - mListCalledAt > mOptions.mMaxListAge) {
     return std::nullopt;
   }
   for (auto& [run, start] : mStarts) {
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -25,6 +25,10 @@
   /** A start is not sent with less remaining lease; it waits for the next
    * grant. */
   base::Duration mMinLease = base::Milliseconds(500);
+  /** A start is not sent if the newest list was called earlier: the target may
+   * have restarted since, and its next incarnation would take a lease that is
+   * longer than the leader granted. Longer than two lists take. */
+  base::Duration mMaxListAge = base::Milliseconds(1000);
 };
 
 /** An order to be sent to the target. */
@@ -161,6 +165,7 @@
   std::vector<protocol::EndedTask> mEnded;
   std::int64_t mClockMs = 0; ///< the target's clock at mClockAt or before
   base::Time mClockAt;
+  base::Time mListCalledAt; ///< when the newest list was called
 };
 
 } // namespace dogwooddrum::coordination::workloads
