Take no run for one that never started from a full list of ends

Callers saw: none so far; it needs 500 ends that were not acknowledged.

Cause: a target lists at most 500 ends at a time. The agent reported a stopped run that was neither running nor among these ends as never started, also if its end as done was to be listed next, and the task was started again.

Change: a list of 500 ends proves nothing about other runs.

Measured: RunIsNotReportedAsNeverRanWhileMoreEndsMayFollow passes; it failed before. The 481 tests of WorkloadRandomFaults pass.

--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -10,6 +10,10 @@
  * their end yet. */
 constexpr std::size_t kMaxEndedIncarnations = 4;
 
+/** A target lists at most this many ends at a time; a list of fewer is whole.
+ */
+constexpr std::size_t kMaxListedEnds = 500;
+
 bool
 HasSameInfo(const protocol::TargetInfo& aLeft,
             const protocol::TargetInfo& aRight)
@@ -223,6 +227,9 @@
 bool
 WorkerAgent::UpdateNeverRan(base::Time aCalledAt)
 {
+  if (mEnded.size() >= kMaxListedEnds) {
+    return false;
+  }
   bool found = false;
   for (const auto& [run, stop] : mStops) {
     const auto isRun = [&, &wanted = run](const auto& aEach) {
