Acknowledge an end only after an end of its run is committed

Callers saw: none so far.

Cause: if a target listed the end of a run whose end the leader had proposed already for another reason, such as its lease, the leader acknowledged the listed end at once. If it then lost its leadership before the commit, the target had forgotten the end, and the next leader knew of none.

Change: such an end counts as pending until the proposed one is applied.

Measured: EndIsNotAcknowledgedBeforeAnyEndOfTheRunIsCommitted passes; it failed before. The 481 tests of WorkloadRandomFaults pass.

--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -225,7 +225,15 @@
     }
     const auto it = aLeader.mRuns.find(ended.mRun);
     if (it == aLeader.mRuns.end() || it->second.mTarget != aTargetIncarnation ||
-        !it->second.mCommitted || it->second.mEnding) {
+        !it->second.mCommitted) {
+      continue;
+    }
+    if (it->second.mEnding) {
+      // Another end is proposed. Until it is committed, the next leader may
+      // need this one.
+      if (isNumbered) {
+        aWorker.mPendingEnds.insert(ended.mRun);
+      }
       continue;
     }
     if (!it->second.mStopping) {
