--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -10,6 +10,10 @@
  * their end yet. */
 constexpr std::size_t kMaxEndedIncarnations = 4;
 
+/** A target lists at most this many ends at a time; a list of fewer is whole.
+ */
+constexpr std::size_t kMaxListedEnds = 500;
+
 bool
 HasSameInfo(const protocol::TargetInfo& aLeft,
             const protocol::TargetInfo& aRight)
@@ -66,7 +70,7 @@
 }
 
 const char*
-WorkerAgent::WhyDropsLeft(const std::string& aInstance) const
+WorkerAgent::WhyDropsLeaveMessage(const std::string& aInstance) const
 {
   if (!mTarget) {
     return "no target is present";
@@ -86,7 +90,12 @@
   }
   const auto& incarnation = aTargetInfo.mTargetIncarnation;
   if (mTarget && mTarget->mTargetIncarnation == incarnation) {
-    const bool changed = !HasSameInfo(*mTarget, aTargetInfo);
+    const bool isLateLeaveMessage = mLeaveMessageAt && !aTargetInfo.mLeaving;
+    if (isLateLeaveMessage) {
+      mLeaveMessageAt.reset(); // it was of an earlier incarnation
+    }
+    const bool changed =
+      isLateLeaveMessage || !HasSameInfo(*mTarget, aTargetInfo);
     mAnnounceSequence = aSequence;
     mAnnouncedAt = aNow;
     const bool wasLeaving = mTarget->mLeaving;
@@ -107,13 +116,26 @@
 }
 
 void
-WorkerAgent::OnLeft(const std::string& aInstance)
+WorkerAgent::OnLeaveMessage(const std::string& aInstance, base::Time aNow)
 {
-  if (WhyDropsLeft(aInstance) == nullptr) {
-    ResetTarget();
+  if (WhyDropsLeaveMessage(aInstance) == nullptr) {
+    mLeaveMessageAt = aNow;
   }
 }
 
+bool
+WorkerAgent::OnConnectionRefused(
+  const protocol::TargetIncarnation& aTargetIncarnation,
+  base::Time aCalledAt)
+{
+  if (!mTarget || mTarget->mTargetIncarnation != aTargetIncarnation ||
+      !mLeaveMessageAt || aCalledAt < *mLeaveMessageAt) {
+    return false;
+  }
+  ResetTarget();
+  return true;
+}
+
 void
 WorkerAgent::ResetTarget()
 {
@@ -126,6 +148,7 @@
     }
   }
   mTarget.reset();
+  mLeaveMessageAt.reset();
   mAnnounceSequence = 0;
   // With a higher token, the first renewal of the next incarnation fences late
   // orders to this incarnation, before the leader has a report of the next one.
@@ -209,6 +232,7 @@
                        !HaveSameRuns(mEnded, aEnded);
   mClockMs = aClockMs;
   mClockAt = aNow;
+  mListCalledAt = aCalledAt;
   mRunning = std::move(aRunning);
   mEnded = std::move(aEnded);
   mHasRunLists = true;
@@ -218,6 +242,9 @@
 bool
 WorkerAgent::UpdateNeverRan(base::Time aCalledAt)
 {
+  if (mEnded.size() >= kMaxListedEnds) {
+    return false;
+  }
   bool found = false;
   for (const auto& [run, stop] : mStops) {
     const auto isRun = [&, &wanted = run](const auto& aEach) {
@@ -253,7 +280,8 @@
       return call;
     }
   }
-  if (mClockAt == base::Time() || mLeaseUntil - aNow < mOptions.mMinLease) {
+  if (mClockAt == base::Time() || mLeaseUntil - aNow < mOptions.mMinLease ||
+      aNow - mListCalledAt > mOptions.mMaxListAge) {
     return std::nullopt;
   }
   for (auto& [run, start] : mStarts) {
@@ -261,7 +289,7 @@
         mInFlight.count(run) > 0 || mStops.count(run) > 0) {
       continue;
     }
-    if (mTarget->mLeaving) {
+    if (mTarget->mLeaving || mLeaveMessageAt) {
       start.mRejected = true;
       start.mReason = "the target is leaving";
       mStops.emplace(run, StopState());
@@ -369,6 +397,9 @@
   report.mSequence = ++mReportSequence;
   report.mSentAtUs = aNow.time_since_epoch().count();
   report.mTarget = mTarget;
+  if (mLeaveMessageAt) {
+    report.mTarget->mLeaving = true;
+  }
   if (mTarget && mTarget->mRemainingMs > 0) {
     // The leader counts from the report on, not from the announcement.
     const std::int64_t left = static_cast<std::int64_t>(mTarget->mRemainingMs) -
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -25,6 +25,10 @@
   /** A start is not sent with less remaining lease; it waits for the next
    * grant. */
   base::Duration mMinLease = base::Milliseconds(500);
+  /** A start is not sent if the newest list was called earlier: the target may
+   * have restarted since, and its next incarnation would take a lease that is
+   * longer than the leader granted. Longer than two lists take. */
+  base::Duration mMaxListAge = base::Milliseconds(1000);
 };
 
 /** An order to be sent to the target. */
@@ -76,10 +80,19 @@
    */
   const char* WhyDrops(const protocol::TargetInfo& aTargetInfo,
                        std::uint64_t aSequence) const;
-  /** Returns why OnLeft ignores this instance, or null. */
-  const char* WhyDropsLeft(const std::string& aInstance) const;
-  /** Handles the end of the instance's present incarnation. */
-  void OnLeft(const std::string& aInstance);
+  /** Returns why OnLeaveMessage ignores this instance, or null. */
+  const char* WhyDropsLeaveMessage(const std::string& aInstance) const;
+  /** Handles a message of the instance that its planned end has come. No run
+   * is given up yet: the message names no incarnation, so that it may be a late
+   * one, and a target that gets no answer to it runs on for seconds. Until the
+   * target announces that it is ready, it gets no starts. */
+  void OnLeaveMessage(const std::string& aInstance, base::Time aNow);
+  /** Handles a refused connection to the target, called at aCalledAt. Returns
+   * whether this shows that the target has ended, as its planned end had come
+   * before. */
+  bool OnConnectionRefused(
+    const protocol::TargetIncarnation& aTargetIncarnation,
+    base::Time aCalledAt);
   /** Replaces the orders by newer ones of the leader; older ones are ignored.
    */
   void OnOrders(const protocol::WorkerOrders& aOrders, base::Time aNow);
@@ -137,6 +150,7 @@
   std::optional<protocol::TargetInfo> mTarget;
   std::uint64_t mAnnounceSequence = 0; ///< newest from mTarget
   base::Time mAnnouncedAt;
+  std::optional<base::Time> mLeaveMessageAt; ///< see OnLeaveMessage
   std::vector<protocol::EndedIncarnation> mEndedIncarnations;
 
   base::Term mTerm;
@@ -155,6 +169,7 @@
   std::vector<protocol::EndedTask> mEnded;
   std::int64_t mClockMs = 0; ///< the target's clock at mClockAt or before
   base::Time mClockAt;
+  base::Time mListCalledAt; ///< when the newest list was called
 };
 
 } // namespace dogwooddrum::coordination::workloads
--- a/dogwooddrum/daemon/WorkloadAgentHost.cpp
+++ b/dogwooddrum/daemon/WorkloadAgentHost.cpp
@@ -97,7 +97,7 @@
 StateOf(const Announcement& aAnnounced)
 {
   if (aAnnounced.mHasLeft) {
-    return "gone";
+    return "ends";
   }
   return aAnnounced.mTargetInfo.mLeaving ? "leaving" : "ready";
 }
@@ -330,7 +330,8 @@
     const auto before = target == nullptr ? protocol::TargetIncarnation()
                                           : target->mTargetIncarnation;
     if (aAnnounced.mHasLeft) {
-      mAgent.OnLeft(aAnnounced.mTargetInfo.mTargetIncarnation.mInstance);
+      mAgent.OnLeaveMessage(aAnnounced.mTargetInfo.mTargetIncarnation.mInstance,
+                            Now());
     } else {
       changed =
         mAgent.OnAnnounced(aAnnounced.mTargetInfo, aAnnounced.mSequence, Now());
@@ -338,7 +339,7 @@
     if (!changed) {
       return;
     }
-    LogIfEnded(aAnnounced, before);
+    LogIfEnded(before, StateOf(aAnnounced), aAnnounced.mSequence);
     service::Log(
       LogEvent::TargetAnnounced,
       { { "target", aAnnounced.mTargetInfo.mTargetIncarnation.mInstance },
@@ -360,7 +361,7 @@
     const auto& incarnation = aAnnounced.mTargetInfo.mTargetIncarnation;
     const char* reason =
       aAnnounced.mHasLeft
-        ? mAgent.WhyDropsLeft(incarnation.mInstance)
+        ? mAgent.WhyDropsLeaveMessage(incarnation.mInstance)
         : mAgent.WhyDrops(aAnnounced.mTargetInfo, aAnnounced.mSequence);
     if (reason != nullptr && mDroppedLimit.Take(aNow)) {
       service::Log(LogEvent::AnnouncementDropped,
@@ -374,8 +375,9 @@
 
   /** Logs that a message has ended the incarnation aBefore. Precondition:
    * mMutex is held. */
-  void LogIfEnded(const Announcement& aAnnounced,
-                  const protocol::TargetIncarnation& aBefore) const
+  void LogIfEnded(const protocol::TargetIncarnation& aBefore,
+                  const char* aMessage,
+                  std::uint64_t aSequence) const
   {
     const auto* target = mAgent.Target();
     if (aBefore.mInstance.empty() ||
@@ -386,8 +388,8 @@
       LogEvent::IncarnationEnded,
       { { "target", aBefore.mInstance },
         { "start_ms", aBefore.mStartMs },
-        { "message", StateOf(aAnnounced) },
-        { "sequence", aAnnounced.mSequence },
+        { "message", aMessage },
+        { "sequence", aSequence },
         { "next",
           target == nullptr
             ? std::string("none")
@@ -485,6 +487,9 @@
     if (!listing) {
       service::Log(LogEvent::ListingFailed,
                    { { "message", listing.LastFailure().mMessage } });
+      if (outcome.mRefused) {
+        OnConnectionRefused(renewal->mTargetIncarnation, begin);
+      }
       return kRenewalRetry;
     }
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -502,6 +507,16 @@
     return now - begin < kRenewalPause ? kRenewalPause : base::Duration::zero();
   }
 
+  void OnConnectionRefused(const protocol::TargetIncarnation& aTarget,
+                           base::Time aCalledAt)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mAgent.OnConnectionRefused(aTarget, aCalledAt)) {
+      LogIfEnded(aTarget, "connection_refused", 0);
+      SendReportLocked(Now());
+    }
+  }
+
   base::Duration SendNextOrder(transport::HttpClient* aClient)
   {
     std::optional<OrderCall> call;
--- a/tests/error/WorkerAgentReports.cpp
+++ b/tests/error/WorkerAgentReports.cpp
@@ -69,7 +69,8 @@
 {
   auto agent = MakeAgent();
   agent.OnListing(kTargetIncarnation, 300, {}, { Done() }, At(310), At(311));
-  agent.OnLeft(kTargetIncarnation.mInstance);
+  agent.OnLeaveMessage(kTargetIncarnation.mInstance, At(312));
+  EXPECT_TRUE(agent.OnConnectionRefused(kTargetIncarnation, At(313)));
   const auto report = agent.MakeReport(At(320));
   EXPECT_FALSE(report.mTarget);
   ASSERT_EQ(report.mEndedIncarnations.size(), 1U);
@@ -89,7 +90,8 @@
   scheduler.BecomeLeader(base::Term(1), At(0));
   auto agent = MakeAgent();
   agent.OnListing(kTargetIncarnation, 300, {}, { Done() }, At(310), At(311));
-  agent.OnLeft(kTargetIncarnation.mInstance);
+  agent.OnLeaveMessage(kTargetIncarnation.mInstance, At(312));
+  EXPECT_TRUE(agent.OnConnectionRefused(kTargetIncarnation, At(313)));
   scheduler.OnReport(Session(1), agent.MakeReport(At(320)), At(321));
   const auto output = scheduler.TakeOutput(At(321));
   for (const Change& change : output.mChanges) {
