Let the soak lose the power of all processes and replace control members

Options choose three or five control members, 4 to 60 agents, control addresses as the operator's list had them 3 s ago, losses of all power with lost disks, and replacements of members. A failed run prints the exit statuses and last log lines of each control member.

--- a/tests/platform/soak/Soak.cpp
+++ b/tests/platform/soak/Soak.cpp
@@ -1,262 +1,206 @@
-// Soak SEED SECONDS guards against workloads that are lost, run twice or exceed
-// a target's capacity, and against an old configuration, when daemons, a
-// control member's disk, targets and links fail in overlapping sequences.
-#include "dogwooddrum/daemon/Clock.h"
-#include "dogwooddrum/transport/HttpClient.h"
+// Soak SEED SECONDS [name=value...] guards against workloads that are lost, run
+// twice or exceed a target's capacity, and against an old configuration or a
+// group without a leader, when daemons, control members' disks, targets, links
+// and the power of the whole system fail in overlapping sequences.
 #include "tests/platform/soak/FakeTarget.h"
+#include "tests/platform/soak/SoakCallers.h"
+#include "tests/platform/soak/SoakOptions.h"
+#include "tests/platform/soak/SoakProcesses.h"
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <cstdio>
-#include <fcntl.h>
 #include <filesystem>
-#include <fstream>
 #include <map>
-#include <set>
-#include <spawn.h>
-#include <sys/wait.h>
 #include <thread>
-#include <unistd.h>
-
-extern char** environ;
 
 namespace dogwooddrum::tests {
 namespace {
 
-using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr int kControls = 3;
-constexpr int kEntries = 2;
-constexpr int kAgents = 4;
 constexpr std::int64_t kHeartbeatMs = 300;
 /** Limit for all accepted workloads to end after the last fault. */
 constexpr std::int64_t kSettleLimitMs = 60000;
+/** Limit for the newest configuration to be readable after the last fault. */
+constexpr std::int64_t kReadBackLimitMs = 15000;
 /** Link faults have a random generator of their own, so that the other faults
  * of a seed do not depend on them. */
 constexpr std::uint64_t kLinkSeedOffset = 1000000;
-
-enum class NodeKind
-{
-  Control,
-  Entry,
-  Agent,
-  Target,
-};
+/** Power faults have a random generator of their own too. */
+constexpr std::uint64_t kPowerSeedOffset = 2000000;
+/** Time in which the group repairs itself after a member or disk is lost; no
+ * other one is lost before. */
+constexpr std::int64_t kRepairMs = 12000;
+/** All processes start within this time after the power is back. */
+constexpr std::int64_t kStartSpreadMs = 300;
+/** Each thread sends the heartbeats of this many targets. */
+constexpr int kTargetsPerThread = 8;
 
 /** Runs daemons as processes on loopback with fake targets. Kills, pauses,
- * terminates and restarts processes, wipes a control member's disk, restarts
- * targets, and resets, silences or holds back one or both directions of the
- * connections to them, while callers submit workloads. */
+ * terminates and restarts processes, wipes and replaces control members,
+ * removes the power of all processes, restarts targets, and resets, silences or
+ * holds back one or both directions of the connections to them, while callers
+ * submit workloads. */
 class Soak
 {
 public:
-  explicit Soak(std::uint64_t aSeed)
-    : mRandom(aSeed)
-    , mLinkRandom(aSeed + kLinkSeedOffset)
-    , mPort(static_cast<std::uint16_t>(20000 + (::getpid() * 37) % 20000))
+  explicit Soak(const SoakOptions& aOptions)
+    : mOptions(aOptions)
+    , mRandom(aOptions.mSeed)
+    , mLinkRandom(aOptions.mSeed + kLinkSeedOffset)
+    , mPowerRandom(aOptions.mSeed + kPowerSeedOffset)
     , mNetwork(2)
+    , mProcesses(aOptions)
+    , mCallers(mProcesses, mRandom)
   {
-    std::string name =
-      (std::filesystem::temp_directory_path() / "dogwooddrum-soak-XXXXXX")
-        .string();
-    mFolder = ::mkdtemp(name.data());
-    for (int i = 0; i < kAgents; ++i) {
+    for (int i = 0; i < mOptions.mAgents; ++i) {
       mTargets.push_back(std::make_unique<FakeTarget>(
         mNetwork,
-        transport::Address{ Ip(NodeKind::Target, i), mPort },
+        transport::Address{ SoakProcesses::Ip(NodeKind::Target, i),
+                            mProcesses.Port() },
         "i-" + std::to_string(i),
         mRecord,
-        aSeed + static_cast<std::uint64_t>(i)));
+        mOptions.mSeed + static_cast<std::uint64_t>(i)));
+    }
+    for (const auto& name : mProcesses.Names()) {
+      mProcesses.Start(name);
+    }
+    mProcesses.EndBootstrap();
+    for (int i = 0; i < mOptions.mAgents; i += kTargetsPerThread) {
+      mThreads.emplace_back([this, i] {
+        SendHeartbeats(i, std::min(i + kTargetsPerThread, mOptions.mAgents));
+      });
     }
-    ForEachProcess([this](const std::string& aName) { Start(aName); });
-    mBootstrap = false;
-    mHeartbeatThread = std::thread([this] { SendHeartbeats(); });
-    mTickThread = std::thread([this] { TickTargets(); });
+    mThreads.emplace_back([this] { TickTargets(); });
   }
 
   ~Soak()
   {
     mStopped = true;
-    mHeartbeatThread.join();
-    mTickThread.join();
-    ForEachProcess([this](const std::string& aName) { Kill(aName); });
+    for (auto& thread : mThreads) {
+      thread.join();
+    }
+    mProcesses.KillAll();
     mTargets.clear();
     mNetwork.Stop();
     if (mPassed) {
-      std::filesystem::remove_all(mFolder);
+      std::filesystem::remove_all(mProcesses.Folder());
     }
   }
 
   /** Returns whether all invariants held. */
-  bool Run(std::int64_t aSeconds)
+  bool Run()
   {
-    if (!WaitUntil(20000, [this] { return PutConfiguration(); })) {
-      return ReportFailure("the first configuration was not accepted in 20 s");
-    }
-    const auto end = NowMs() + aSeconds * 1000;
-    auto nextFault = NowMs() + 2000;
-    auto nextLinkFault = nextFault;
-    while (NowMs() < end) {
-      if (NowMs() >= nextFault) {
-        InjectProcessFault();
-        nextFault = NowMs() + 300 + static_cast<int>(mRandom() % 1500);
-      }
-      if (NowMs() >= nextLinkFault) {
-        InjectLinkFault();
-        nextLinkFault = NowMs() + 300 + static_cast<int>(mLinkRandom() % 1500);
-      }
-      SubmitOne();
-      Recover(false);
-      std::this_thread::sleep_for(milliseconds(100));
+    if (!WaitUntil(20000, [this] { return mCallers.PutConfiguration(); })) {
+      ReportFailure("the first configuration was not accepted in 20 s");
+      return false;
     }
+    mNextFault = SoakNowMs() + 2000;
+    mNextLinkFault = mNextFault;
+    mNextPowerFault = SoakNowMs() + 8000;
+    RunFor(mOptions.mSeconds * 1000, mOptions.mRandomFaults);
     Recover(true);
-    const bool ended = WaitUntil(kSettleLimitMs, [this] { return AllEnded(); });
-    return CheckInvariants(ended);
+    if (mOptions.mFinalPowerLoss) {
+      InjectFinalFault();
+    }
+    if (!WaitUntil(kReadBackLimitMs,
+                   [this] { return mCallers.CanReadConfiguration(); })) {
+      ReportFailure("the configuration cannot be read back in " +
+                    std::to_string(kReadBackLimitMs) + " ms");
+    }
+    WaitUntil(kSettleLimitMs, [this] { return mCallers.AllEnded(); });
+    for (const auto& violation : mCallers.FindViolations(mRecord)) {
+      ReportFailure(violation);
+    }
+    std::printf("%d workloads ended, %zu refused, %zu tasks started\n",
+                mCallers.EndedCount(),
+                mCallers.RefusedCount(),
+                mRecord.mStarts.size());
+    if (!mPassed) {
+      mProcesses.PrintMemberLogs();
+    }
+    return mPassed;
   }
 
 private:
-  static std::int64_t NowMs() { return base::ToMilliseconds(daemon::Now()); }
-
+  /** Waits for aCondition while processes that exit are started again. */
   template<typename F>
-  static bool WaitUntil(std::int64_t aMs, const F& aCondition)
+  bool WaitUntil(std::int64_t aMs, const F& aCondition)
   {
-    const auto end = NowMs() + aMs;
+    const auto end = SoakNowMs() + aMs;
     while (!aCondition()) {
-      if (NowMs() >= end) {
+      if (SoakNowMs() >= end) {
         return false;
       }
+      Recover(false);
       std::this_thread::sleep_for(milliseconds(200));
     }
     return true;
   }
 
-  static std::string Ip(NodeKind aKind, int aIndex)
-  {
-    return "127.0." + std::to_string(10 + static_cast<int>(aKind)) + "." +
-           std::to_string(aIndex + 1);
-  }
-
-  template<typename F>
-  static void ForEachProcess(const F& aFunction)
-  {
-    for (int i = 0; i < kControls; ++i) {
-      aFunction("control" + std::to_string(i));
-    }
-    for (int i = 0; i < kEntries; ++i) {
-      aFunction("entry" + std::to_string(i));
-    }
-    for (int i = 0; i < kAgents; ++i) {
-      aFunction("agent" + std::to_string(i));
-    }
-  }
-
-  std::string AddressOf(NodeKind aKind, int aIndex, int aOffset = 0) const
-  {
-    return Ip(aKind, aIndex) + ":" + std::to_string(mPort + aOffset);
-  }
-
-  void WriteSettings(const std::string& aName) const
+  /** Submits workloads for a time, with or without random faults. */
+  void RunFor(std::int64_t aMs, bool aWithFaults)
   {
-    const std::string role = aName.substr(0, aName.size() - 1);
-    const int index = aName.back() - '0';
-    std::string seeds;
-    for (int i = 0; i < kControls; ++i) {
-      seeds += (i == 0 ? "" : ",") + AddressOf(NodeKind::Control, i, 1);
-    }
-    const NodeKind kind = role == "control" ? NodeKind::Control
-                          : role == "entry" ? NodeKind::Entry
-                                            : NodeKind::Agent;
-    std::ofstream out(mFolder + "/" + aName + ".ini");
-    out << "[common]\nrole = " << role << "\nname = " << aName
-        << "\nregion = r\nzone = z\nbind_address = " << Ip(kind, index)
-        << "\nhttp_port = " << mPort + 2
-        << "\nlink_port = " << (kind == NodeKind::Control ? mPort : 0)
-        << "\nkey = 0123456789abcdef\ndrain_delay_ms = 200\n"
-           "shutdown_limit_ms = 2000\n["
-        << role << "]\n";
-    if (kind == NodeKind::Control) {
-      out << "data_folder = " << mFolder << "/" << aName
-          << "\nseeds = " << seeds
-          << "\nbootstrap = " << (mBootstrap ? "true" : "false")
-          << "\noperator_address = " << AddressOf(kind, index, 1) << "\n";
-    } else {
-      out << "control_addresses = " << seeds
-          << "\ncontrol_link_port = " << mPort << "\n"
-          << (kind == NodeKind::Entry ? "frontend_address = "
-                                      : "announce_address = ")
-          << AddressOf(kind, index) << "\n";
+    const auto end = SoakNowMs() + aMs;
+    while (SoakNowMs() < end) {
+      if (aWithFaults && SoakNowMs() >= mNextFault) {
+        InjectProcessFault();
+        mNextFault = SoakNowMs() + 300 + static_cast<int>(mRandom() % 1500);
+      }
+      if (aWithFaults && SoakNowMs() >= mNextLinkFault) {
+        InjectLinkFault();
+        mNextLinkFault =
+          SoakNowMs() + 300 + static_cast<int>(mLinkRandom() % 1500);
+      }
+      if (mOptions.mPowerFaults && SoakNowMs() >= mNextPowerFault) {
+        InjectPowerFault();
+        mNextPowerFault = SoakNowMs() + kRepairMs;
+      }
+      mCallers.SubmitOne();
+      Recover(false);
+      std::this_thread::sleep_for(milliseconds(100));
     }
   }
 
-  void Start(const std::string& aName)
-  {
-    WriteSettings(aName);
-    std::vector<std::string> arguments = { DOGWOODDRUM_DAEMON,
-                                           "--settings",
-                                           mFolder + "/" + aName + ".ini" };
-    std::vector<char*> pointers;
-    for (auto& argument : arguments) {
-      pointers.push_back(argument.data());
-    }
-    pointers.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions,
-                                     STDERR_FILENO,
-                                     (mFolder + "/" + aName + ".log").c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND,
-                                     0600);
-    pid_t pid = -1;
-    if (posix_spawn(
-          &pid, pointers[0], &actions, nullptr, pointers.data(), environ) ==
-        0) {
-      mPids[aName] = pid;
-    }
-    posix_spawn_file_actions_destroy(&actions);
-  }
-
-  void Kill(const std::string& aName)
+  std::string RandomProcess()
   {
-    const auto it = mPids.find(aName);
-    if (it != mPids.end()) {
-      ::kill(it->second, SIGKILL);
-      ::waitpid(it->second, nullptr, 0);
-      mPids.erase(it);
-    }
+    const auto names = mProcesses.Names();
+    return names[mRandom() % names.size()];
   }
 
-  std::string RandomProcess()
+  int RandomControl()
   {
-    std::vector<std::string> names;
-    ForEachProcess([&](const std::string& aName) { names.push_back(aName); });
-    return names[mRandom() % names.size()];
+    const auto controls = mProcesses.Controls();
+    return controls[mPowerRandom() % controls.size()];
   }
 
   void InjectProcessFault()
   {
     const std::string name = RandomProcess();
     const auto kind = mRandom() % 5;
-    const auto until = NowMs() + 200 + static_cast<int>(mRandom() % 4000);
+    const auto until = SoakNowMs() + 200 + static_cast<int>(mRandom() % 4000);
     if (kind == 0) {
       const auto target = mRandom() % mTargets.size();
       std::printf("restart target %zu\n", static_cast<std::size_t>(target));
       mTargets[target]->Restart();
       return;
     }
-    if (mPids.count(name) == 0 || mFaultEnds.count(name) > 0) {
+    if (!mProcesses.IsRunning(name) || mFaultEnds.count(name) > 0) {
       return;
     }
     mFaultEnds[name] = until;
     if (kind == 1) {
       std::printf("pause %s\n", name.c_str());
-      ::kill(mPids[name], SIGSTOP);
+      mProcesses.Signal(name, SIGSTOP);
     } else if (kind == 2) {
       std::printf("terminate %s\n", name.c_str());
-      ::kill(mPids[name], SIGTERM);
+      mProcesses.Signal(name, SIGTERM);
     } else {
       std::printf("kill %s\n", name.c_str());
-      Kill(name);
+      mProcesses.Kill(name);
       MaybeWipeDisk(name);
     }
   }
@@ -268,7 +212,8 @@
   {
     const auto index = mLinkRandom() % mTargets.size();
     auto& proxy = mTargets[index]->Proxy();
-    const auto until = NowMs() + 100 + static_cast<int>(mLinkRandom() % 4000);
+    const auto until =
+      SoakNowMs() + 100 + static_cast<int>(mLinkRandom() % 4000);
     static constexpr std::array<const char*, 5> kNames{
       "reset", "silence", "hold requests", "hold answers", "hold both"
     };
@@ -289,7 +234,7 @@
   void ReleaseLinks(bool aAll)
   {
     for (auto it = mHeldUntil.begin(); it != mHeldUntil.end();) {
-      if (!aAll && NowMs() < it->second) {
+      if (!aAll && SoakNowMs() < it->second) {
         ++it;
         continue;
       }
@@ -303,179 +248,171 @@
    * earlier lost disk has been repaired. */
   void MaybeWipeDisk(const std::string& aName)
   {
-    constexpr std::int64_t kRepairMs = 12000;
     const bool isOnlyFault = mFaultEnds.size() == 1;
-    if (aName.rfind("control", 0) == 0 && isOnlyFault && NowMs() >= mNextWipe) {
+    if (aName.rfind("control", 0) == 0 && isOnlyFault &&
+        SoakNowMs() >= mNextWipe) {
       std::printf("wipe %s\n", aName.c_str());
-      std::filesystem::remove_all(mFolder + "/" + aName);
-      mNextWipe = NowMs() + kRepairMs;
+      mProcesses.WipeDisk(std::stoi(aName.substr(7)));
+      mNextWipe = SoakNowMs() + kRepairMs;
     }
   }
 
-  /** Ends faults whose time is over, and restarts processes that have
-   * exited. */
-  void Recover(bool aAll)
+  /** Replaces a member, or removes the power of all processes, with the loss of
+   * as many disks as tolerated if an earlier loss has been repaired. */
+  void InjectPowerFault()
   {
-    ReleaseLinks(aAll);
-    for (auto it = mFaultEnds.begin(); it != mFaultEnds.end();) {
-      if (!aAll && NowMs() < it->second) {
-        ++it;
-        continue;
-      }
-      const auto process = mPids.find(it->first);
-      if (process != mPids.end()) {
-        ::kill(process->second, SIGCONT);
-      }
-      it = mFaultEnds.erase(it);
+    const bool isRepaired = SoakNowMs() >= mNextWipe;
+    const auto kind = mPowerRandom() % 4;
+    if (kind <= 1 && isRepaired && mFaultEnds.empty()) {
+      kind == 0 ? ReplacePlain() : ReplacePlanned();
+      mNextWipe = SoakNowMs() + kRepairMs;
+      return;
     }
-    ForEachProcess([&](const std::string& aName) {
-      const auto it = mPids.find(aName);
-      if (it != mPids.end() && ::waitpid(it->second, nullptr, WNOHANG) != 0) {
-        mPids.erase(it);
-      }
-      if (mPids.count(aName) == 0 && mFaultEnds.count(aName) == 0) {
-        Start(aName);
-      }
-    });
+    const int wiped =
+      isRepaired
+        ? static_cast<int>(mPowerRandom() % (mOptions.mControls / 2 + 1))
+        : 0;
+    LosePower(wiped,
+              static_cast<std::int64_t>(1000 + mPowerRandom() % 3000),
+              mPowerRandom() % 2 == 0,
+              RestartList::Usual);
+    mNextWipe = SoakNowMs() + kRepairMs;
   }
 
-  transport::HttpOutcome Call(NodeKind aKind,
-                              int aIndex,
-                              int aOffset,
-                              const std::string& aMethod,
-                              const std::string& aPath,
-                              const std::string& aBody) const
+  /** Removes a member for good; an empty one at another address starts. */
+  void ReplacePlain()
   {
-    transport::HttpClientOptions options;
-    options.mIp = Ip(aKind, aIndex);
-    options.mPort = static_cast<std::uint16_t>(mPort + aOffset);
-    transport::HttpClient client(options);
-    transport::HttpRequest request;
-    request.mMethod = aMethod;
-    request.mTarget = aPath;
-    request.mBody = aBody;
-    request.mHeaders["Host"] = "h";
-    request.mHeaders["Api-Key"] = "k";
-    return client.Call(request, base::Milliseconds(1000));
+    const int old = RandomControl();
+    mFaultEnds.erase("control" + std::to_string(old));
+    mProcesses.RemoveControl(old);
+    std::printf("replace control%d\n", old);
+    StartSuccessor();
   }
 
-  bool PutConfiguration()
+  /** Starts an empty member at another address; 5 s later a member leaves. */
+  void ReplacePlanned()
   {
-    const Json route = { { "name", "r" },          { "host", "h" },
-                         { "path_prefix", "/p/" }, { "service", "s" },
-                         { "timeout_ms", 3000 },   { "max_attempts", 4 } };
-    const Json body = {
-      { "version", 3 },
-      { "routes", Json::array({ route }) },
-      { "services", Json::array({ { { "name", "s" } } }) },
-      { "tenants",
-        Json::array({ { { "name", "t" }, { "api_keys", { "k" } } } }) }
-    };
-    mConfiguration = body.dump();
-    for (int i = 0; i < kControls; ++i) {
-      const auto outcome =
-        Call(NodeKind::Control, i, 1, "PUT", "/-/config", mConfiguration);
-      if (outcome && outcome->mStatus == 200) {
-        return true;
-      }
-    }
-    return false;
+    const int old = RandomControl();
+    StartSuccessor();
+    RunFor(5000, false);
+    std::printf("remove control%d\n", old);
+    mFaultEnds.erase("control" + std::to_string(old));
+    mProcesses.RemoveControl(old);
   }
 
-  void SubmitOne()
+  void StartSuccessor()
   {
-    std::array<char, 17> id{};
-    std::snprintf(id.data(), id.size(), "%016llx", ++mLastId);
-    const Json step = { { "count", 1 + mRandom() % 3 },
-                        { "cpu", 16000 },
-                        { "mem_mb", 100 },
-                        { "estimate_ms", 1000 } };
-    const Json body = { { "spec", "x" }, { "steps", Json::array({ step }) } };
-    const auto outcome = Call(NodeKind::Entry,
-                              static_cast<int>(mRandom() % kEntries),
-                              0,
-                              "POST",
-                              std::string("/p/") + id.data(),
-                              body.dump());
-    if (outcome && outcome->mStatus == 200) {
-      mAccepted.insert(id.data());
-    } else if (outcome && outcome->mStatus == 503) {
-      mRejected.insert(id.data());
-    }
+    const auto name = "control" + std::to_string(mProcesses.AddControl());
+    std::printf("start %s\n", name.c_str());
+    mProcesses.Start(name);
   }
 
-  bool AllEnded()
+  /** Kills all processes at once, wipes disks, and starts all processes in
+   * random order after aDownMs. */
+  void LosePower(int aWiped,
+                 std::int64_t aDownMs,
+                 bool aRestartTargets,
+                 RestartList aList)
   {
-    for (auto it = mAccepted.begin(); it != mAccepted.end();) {
-      const auto outcome = Call(NodeKind::Entry, 0, 0, "GET", "/p/" + *it, "");
-      if (outcome && outcome->mStatus == 410) {
-        mLost.insert(*it);
-        it = mAccepted.erase(it);
-        continue;
-      }
-      const auto json =
-        outcome ? Json::parse(outcome->mBody, nullptr, false) : Json();
-      const std::string state =
-        json.is_object() ? json.value("state", "") : std::string();
-      if (state != "complete" && state != "failed") {
-        return false;
+    ReleaseLinks(true);
+    mFaultEnds.clear();
+    mProcesses.KillAll();
+    const auto back = SoakNowMs() + aDownMs;
+    auto controls = mProcesses.Controls();
+    std::shuffle(controls.begin(), controls.end(), mPowerRandom);
+    controls.resize(static_cast<std::size_t>(aWiped));
+    std::printf("lose power for %d ms", static_cast<int>(aDownMs));
+    for (const int control : controls) {
+      std::printf(", wipe control%d", control);
+      mProcesses.WipeDisk(control);
+    }
+    std::printf(aRestartTargets ? ", restart targets\n" : "\n");
+    if (aRestartTargets) {
+      for (const auto& target : mTargets) {
+        target->Restart();
       }
-      ++mEndedCount;
-      it = mAccepted.erase(it);
     }
-    return true;
+    auto names = mProcesses.Names();
+    std::shuffle(names.begin(), names.end(), mPowerRandom);
+    std::this_thread::sleep_for(milliseconds(back - SoakNowMs()));
+    if (aList != RestartList::Usual) {
+      std::sort(controls.begin(), controls.end());
+      mProcesses.OverrideSeeds(aList == RestartList::Wiped ? controls
+                               : aList == RestartList::Stale
+                                 ? std::vector<int>{ 0, 1, 2 }
+                                 : std::vector<int>{});
+    }
+    for (const auto& name : names) {
+      mProcesses.Start(name);
+      std::this_thread::sleep_for(
+        milliseconds(kStartSpreadMs / static_cast<int>(names.size())));
+    }
+    mProcesses.OverrideSeeds(std::nullopt);
   }
 
-  bool ReportFailure(const std::string& aMessage)
+  void InjectFinalFault()
   {
-    mPassed = false;
-    std::printf("FAILED: %s; logs in %s\n", aMessage.c_str(), mFolder.c_str());
-    return false;
+    if (mOptions.mReplacement == Replacement::Planned) {
+      ReplacePlanned();
+    } else if (mOptions.mReplacement != Replacement::None) {
+      ReplacePlain();
+    }
+    if (mOptions.mReplacement == Replacement::Twice) {
+      RunFor(6000, false);
+      ReplacePlain();
+    }
+    if (mOptions.mReplacement != Replacement::None) {
+      RunFor(mOptions.mSettleMs, false);
+    }
+    if (!WaitUntil(kReadBackLimitMs,
+                   [this] { return mCallers.PutConfiguration(); })) {
+      ReportFailure("no configuration was accepted before the final fault");
+    }
+    LosePower(mOptions.mWiped,
+              mOptions.mDownMs,
+              mOptions.mRestartTargets,
+              mOptions.mRestartList);
   }
 
-  bool CheckInvariants(bool aEnded)
+  /** Ends faults whose time is over, and starts processes that have exited. */
+  void Recover(bool aAll)
   {
-    bool passed = true;
-    if (!aEnded) {
-      passed = ReportFailure(*mAccepted.begin() + " has not ended");
-    }
-    for (const auto& id : mLost) {
-      passed = ReportFailure(id + " was accepted but is unknown");
-    }
-    const std::lock_guard<std::mutex> lock(mRecord.mMutex);
-    for (const auto& violation : mRecord.mViolations) {
-      passed = ReportFailure(violation);
-    }
-    for (const auto& id : mRejected) {
-      for (const auto& [task, starts] : mRecord.mStarts) {
-        if (task.rfind(id, 0) == 0) {
-          passed = ReportFailure(id + " was refused as not run but ran");
-        }
+    ReleaseLinks(aAll);
+    for (auto it = mFaultEnds.begin(); it != mFaultEnds.end();) {
+      if (!aAll && SoakNowMs() < it->second) {
+        ++it;
+        continue;
       }
+      mProcesses.Signal(it->first, SIGCONT);
+      it = mFaultEnds.erase(it);
     }
-    bool current = false;
-    for (int i = 0; i < kControls; ++i) {
-      const auto outcome =
-        Call(NodeKind::Control, i, 1, "GET", "/-/config", "");
-      current = current || (outcome && outcome->mBody == mConfiguration);
+    mProcesses.ReapExited();
+    for (const auto& name : mProcesses.Names()) {
+      if (!mProcesses.IsRunning(name) && mFaultEnds.count(name) == 0 &&
+          mProcesses.MayStart(name)) {
+        mProcesses.Start(name);
+      }
     }
-    if (!current) {
-      passed = ReportFailure("no member shows the accepted configuration");
+    if (mOptions.mSeeds == SeedList::Operator) {
+      mProcesses.UpdateSettings();
     }
-    std::printf("%d workloads ended, %zu refused, %zu tasks started\n",
-                mEndedCount,
-                mRejected.size(),
-                mRecord.mStarts.size());
-    return passed;
   }
 
-  void SendHeartbeats()
+  void ReportFailure(const std::string& aMessage)
+  {
+    mPassed = false;
+    std::printf("FAILED: %s; logs in %s\n",
+                aMessage.c_str(),
+                mProcesses.Folder().c_str());
+  }
+
+  void SendHeartbeats(int aFirst, int aEnd)
   {
     while (!mStopped) {
-      for (int i = 0; i < kAgents; ++i) {
+      for (int i = aFirst; i < aEnd; ++i) {
         const auto [path, body] =
           mTargets[static_cast<std::size_t>(i)]->Heartbeat();
-        Call(NodeKind::Agent, i, 0, "PUT", path, body);
+        mProcesses.Call(NodeKind::Agent, i, 0, "PUT", path, body);
       }
       std::this_thread::sleep_for(milliseconds(kHeartbeatMs));
     }
@@ -493,29 +430,25 @@
     }
   }
 
+  const SoakOptions mOptions;
   std::mt19937_64 mRandom;
   std::mt19937_64 mLinkRandom;
-  const std::uint16_t mPort;
-  std::string mFolder;
-  bool mBootstrap = true;
+  std::mt19937_64 mPowerRandom;
   bool mPassed = true;
   transport::Network mNetwork;
   SharedRunRecord mRecord;
+  SoakProcesses mProcesses;
+  SoakCallers mCallers;
   std::vector<std::unique_ptr<FakeTarget>> mTargets;
-  std::map<std::string, pid_t> mPids;
   std::map<std::string, std::int64_t>
     mFaultEnds; ///< end of the fault by process
   std::map<std::size_t, std::int64_t> mHeldUntil; ///< end of the hold by target
+  std::int64_t mNextFault = 0;
+  std::int64_t mNextLinkFault = 0;
+  std::int64_t mNextPowerFault = 0;
   std::int64_t mNextWipe = 0;
-  std::string mConfiguration;
-  unsigned long long mLastId = 0;
-  std::set<std::string> mAccepted;
-  std::set<std::string> mRejected;
-  std::set<std::string> mLost;
-  int mEndedCount = 0;
   std::atomic<bool> mStopped{ false };
-  std::thread mHeartbeatThread;
-  std::thread mTickThread;
+  std::vector<std::thread> mThreads;
 };
 
 } // namespace
@@ -524,14 +457,15 @@
 int
 main(int aCount, char** aArguments)
 {
-  if (aCount != 3) {
-    std::fprintf(stderr, "usage: Soak SEED SECONDS\n");
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  const auto options = dogwooddrum::tests::ReadSoakOptions(aCount, aArguments);
+  if (!options) {
     return 2;
   }
-  const auto seed = std::strtoull(aArguments[1], nullptr, 10);
-  const auto seconds = std::strtoll(aArguments[2], nullptr, 10);
-  dogwooddrum::tests::Soak soak(seed);
-  const bool passed = soak.Run(seconds);
-  std::printf("seed %llu: %s\n", seed, passed ? "passed" : "FAILED");
+  dogwooddrum::tests::Soak soak(*options);
+  const bool passed = soak.Run();
+  std::printf("seed %llu: %s\n",
+              static_cast<unsigned long long>(options->mSeed),
+              passed ? "passed" : "FAILED");
   return passed ? 0 : 1;
 }
--- /dev/null
+++ b/tests/platform/soak/SoakCallers.h
@@ -0,0 +1,55 @@
+/** \file
+ * Defines SoakCallers: the operator and the callers of a soak run, and the
+ * checks of what they were told.
+ */
+#pragma once
+
+#include "tests/platform/soak/FakeTarget.h"
+#include "tests/platform/soak/SoakProcesses.h"
+
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dogwooddrum::tests {
+
+/** Submits workloads and configurations and records the answers. Thread safety:
+ * none. */
+class SoakCallers
+{
+public:
+  SoakCallers(const SoakProcesses& aProcesses, std::mt19937_64& aRandom)
+    : mProcesses(aProcesses)
+    , mRandom(aRandom)
+  {
+  }
+
+  /** Sends a configuration with a higher version to each member until one
+   * acknowledges it; returns whether one did. */
+  bool PutConfiguration();
+  void SubmitOne();
+  /** Returns whether a member shows the newest acknowledged configuration, or a
+   * later one that was sent without an answer. */
+  bool CanReadConfiguration() const;
+  /** Returns whether all accepted workloads have ended. */
+  bool AllEnded();
+  /** Returns what is wrong, after the wait for the ends of all workloads. */
+  std::vector<std::string> FindViolations(SharedRunRecord& aRecord) const;
+  int EndedCount() const { return mEndedCount; }
+  std::size_t RefusedCount() const { return mRejected.size(); }
+
+private:
+  const SoakProcesses& mProcesses;
+  std::mt19937_64& mRandom;
+  int mVersion = 2;
+  /** The newest acknowledged configuration, and all that were sent later. */
+  std::vector<std::string> mConfigurations;
+  unsigned long long mLastId = 0;
+  std::set<std::string> mAccepted;
+  std::set<std::string> mRejected;
+  std::set<std::string> mLost;
+  int mEndedCount = 0;
+};
+
+} // namespace dogwooddrum::tests
