--- a/tests/platform/soak/Soak.cpp
+++ b/tests/platform/soak/Soak.cpp
@@ -264,7 +264,7 @@
     const bool isRepaired = SoakNowMs() >= mNextWipe;
     const auto kind = mPowerRandom() % 4;
     if (kind <= 1 && isRepaired && mFaultEnds.empty()) {
-      kind == 0 ? ReplacePlain() : ReplacePlanned();
+      kind == 0 ? ReplacePlain(RandomControl()) : ReplacePlanned();
       mNextWipe = SoakNowMs() + kRepairMs;
       return;
     }
@@ -280,12 +280,11 @@
   }
 
   /** Removes a member for good; an empty one at another address starts. */
-  void ReplacePlain()
+  void ReplacePlain(int aOld)
   {
-    const int old = RandomControl();
-    mFaultEnds.erase("control" + std::to_string(old));
-    mProcesses.RemoveControl(old);
-    std::printf("replace control%d\n", old);
+    mFaultEnds.erase("control" + std::to_string(aOld));
+    mProcesses.RemoveControl(aOld);
+    std::printf("replace control%d\n", aOld);
     StartSuccessor();
   }
 
@@ -354,12 +353,14 @@
   {
     if (mOptions.mReplacement == Replacement::Planned) {
       ReplacePlanned();
+    } else if (mOptions.mReplacement == Replacement::Leader) {
+      ReplacePlain(mCallers.FindLeader().value_or(0));
     } else if (mOptions.mReplacement != Replacement::None) {
-      ReplacePlain();
+      ReplacePlain(RandomControl());
     }
     if (mOptions.mReplacement == Replacement::Twice) {
       RunFor(6000, false);
-      ReplacePlain();
+      ReplacePlain(RandomControl());
     }
     if (mOptions.mReplacement != Replacement::None) {
       RunFor(mOptions.mSettleMs, false);
--- a/tests/platform/soak/SoakCallers.cpp
+++ b/tests/platform/soak/SoakCallers.cpp
@@ -73,6 +73,19 @@
   });
 }
 
+std::optional<int>
+SoakCallers::FindLeader() const
+{
+  for (const int control : mProcesses.Controls()) {
+    const auto outcome =
+      mProcesses.Call(NodeKind::Control, control, 1, "GET", "/-/config", "");
+    if (outcome && outcome->mStatus == 200) {
+      return control;
+    }
+  }
+  return std::nullopt;
+}
+
 bool
 SoakCallers::AllEnded()
 {
--- a/tests/platform/soak/SoakCallers.h
+++ b/tests/platform/soak/SoakCallers.h
@@ -7,6 +7,7 @@
 #include "tests/platform/soak/FakeTarget.h"
 #include "tests/platform/soak/SoakProcesses.h"
 
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -32,6 +33,8 @@
   /** Returns whether a member shows the newest acknowledged configuration, or a
    * later one that was sent without an answer. */
   bool CanReadConfiguration() const;
+  /** Returns the index of the member that answers operators itself. */
+  std::optional<int> FindLeader() const;
   /** Returns whether all accepted workloads have ended. */
   bool AllEnded();
   /** Returns what is wrong, after the wait for the ends of all workloads. */
--- a/tests/platform/soak/SoakOptions.cpp
+++ b/tests/platform/soak/SoakOptions.cpp
@@ -20,7 +20,7 @@
   "  targets=0|1          targets restart in the final fault (0)\n"
   "  down=MS              time without power\n"
   "  list=usual|empty|wiped|stale   control addresses at the first start\n"
-  "  replace=none|plain|planned|twice   replacements before the final fault\n"
+  "  replace=none|plain|leader|planned|twice   before the final fault\n"
   "  settle=MS            from the last replacement to the final fault\n";
 
 template<typename T>
@@ -96,6 +96,7 @@
   return aName == "replace" &&
          Choose<Replacement>({ { "none", Replacement::None },
                                { "plain", Replacement::Plain },
+                               { "leader", Replacement::Leader },
                                { "planned", Replacement::Planned },
                                { "twice", Replacement::Twice } },
                              aText,
--- a/tests/platform/soak/SoakOptions.h
+++ b/tests/platform/soak/SoakOptions.h
@@ -31,6 +31,7 @@
 {
   None,
   Plain,   ///< one member is lost; its successor starts then
+  Leader,  ///< as Plain, and the member is the leader
   Planned, ///< the successor starts 5 s before the member leaves
   Twice,   ///< two plain replacements, 6 s apart
 };
