--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -36,6 +36,8 @@
  * other members then hold an election. */
 constexpr base::Duration kTransferTimeout = base::Milliseconds(5000);
 constexpr base::Duration kTransferRetry = base::Milliseconds(500);
+/** Time between attempts to open the data folder after a storage error. */
+constexpr base::Duration kReopenInterval = base::Milliseconds(1000);
 /** Time after the transfer in which the last redirects are sent. */
 constexpr base::Duration kRedirectGrace = base::Milliseconds(200);
 
@@ -68,7 +70,7 @@
   workloads.mStopTime = aSettings.mStopTime;
   workloads.mRestoreTime = aSettings.mRestoreTime;
   workloads.mPolicies = aSettings.mPolicies;
-  if (!aSettings.mSeeds.empty()) {
+  if (aSettings.mSeeds) {
     options.mRepair.emplace();
     options.mRepair->mIntendedVoters = 2 * aSettings.mToleratedLosses + 1;
   }
@@ -134,7 +136,7 @@
 
   base::Outcome<bool> Start() override
   {
-    if (!mSettings.mSeeds.empty()) {
+    if (mSettings.mSeeds) {
       const auto resolved =
         ResolveMemberSettings(*mFiles, mContext.mSettings.mCommon, mSettings);
       if (!resolved) {
@@ -148,7 +150,7 @@
     if (!hasFoundingFile) {
       return hasFoundingFile.LastFailure();
     }
-    if (!*hasFoundingFile && mSettings.mSeeds.empty()) {
+    if (!*hasFoundingFile && !mSettings.mSeeds) {
       const auto checked = CheckNotVoter(
         *mContext.mNetwork, options, *mContext.mCounters, mSettings);
       if (!checked) {
@@ -164,21 +166,12 @@
       }
       return opened.LastFailure();
     }
-    if (const auto& torn = opened->mStorage->TruncatedTail()) {
-      service::Log(LogEvent::TornTailTruncated,
-                   { { "file", torn->mFile }, { "offset", torn->mOffset } });
-    }
-    LogRecovered(opened->mRecovered);
     mPeers = std::make_unique<PeerLinks>(*mContext.mNetwork,
                                          options,
                                          MakeEvents(),
                                          *mContext.mCounters,
                                          mSettings.mMemberId);
-    mCore = std::make_unique<ControlCore>(MakeCoreOptions(mSettings),
-                                          opened->mRecovered,
-                                          std::move(opened->mStorage),
-                                          MakeHooks(),
-                                          mLoop);
+    mCore = MakeCore(std::move(*opened));
     const auto& common = mContext.mSettings.mCommon;
     auto server =
       transport::LinkServer::Listen(*mContext.mNetwork,
@@ -208,13 +201,12 @@
 
   bool IsReady() override
   {
-    const auto& status = mCore->Status();
-    return status.mLeaderId != 0 && !status.mStorageFailed;
+    return mStatus.mLeaderId != 0 && !mStatus.mStorageFailed;
   }
 
   void UpdateMetrics() override
   {
-    const auto& status = mCore->Status();
+    const auto& status = mStatus;
     auto& metrics = *mContext.mMetrics;
     const auto set = [&metrics](Gauge aGauge, std::uint64_t aValue) {
       metrics.Set(aGauge, static_cast<double>(aValue));
@@ -255,7 +247,7 @@
   bool IsDrained() override
   {
     const auto now = Now();
-    const auto& status = mCore->Status();
+    const auto& status = mStatus;
     if (status.mIsLeaderReady && status.mHasOtherVoters &&
         !status.mStorageFailed && now - mHandoverStartedAt < kTransferTimeout) {
       if (now - mLastTransferAt > kTransferRetry) {
@@ -275,7 +267,14 @@
   }
 
   bool MayExitUndrained() override { return true; }
-  void Reload(const service::Settings&) override {}
+  void Reload(const service::Settings& aSettings) override
+  {
+    if (mSettings.mSeeds && aSettings.mControl.mSeeds) {
+      mLoop.Post([this, seeds = *aSettings.mControl.mSeeds] {
+        mSettings.mSeeds = seeds;
+      });
+    }
+  }
   std::size_t TasksInProgress() override { return 0; }
 
   void Stop() override
@@ -320,10 +319,11 @@
   void Tick(base::Time aNow)
   {
     mCore->Tick(aNow);
+    ReopenStorageIfFailed(aNow);
     if (mOperatorServer) {
       mOperatorServer->Tick(aNow);
     }
-    if (!mSettings.mSeeds.empty()) {
+    if (mSettings.mSeeds) {
       JoinIfNeeded(aNow);
     }
   }
@@ -333,7 +333,7 @@
    * partitioned. */
   void JoinIfNeeded(base::Time aNow)
   {
-    const bool isLeaderKnown = mCore->Status().mLeaderId != 0;
+    const bool isLeaderKnown = mStatus.mLeaderId != 0;
     mLeaderLastKnownAt = isLeaderKnown || mLeaderLastKnownAt == base::Time{}
                            ? aNow
                            : mLeaderLastKnownAt;
@@ -348,7 +348,7 @@
     }
     mNextJoin = aNow + kJoinInterval;
     std::vector<transport::Address> addresses;
-    for (const auto& seed : mSettings.mSeeds) {
+    for (const auto& seed : *mSettings.mSeeds) {
       addresses.push_back({ seed.mIp, mContext.mSettings.mCommon.mLinkPort });
     }
     for (const auto& member : mCore->CurrentMembership().mMembers) {
@@ -357,12 +357,88 @@
       }
     }
     mJoinLinks->RequestJoin(addresses, [this](const auto& aMembership) {
-      mLoop.Post([this, aMembership] {
-        if (mCore->CurrentMembership().mMembers.empty()) {
-          mPeers->Update(aMembership);
+      mLoop.Post([this, aMembership] { OnJoinReply(aMembership); });
+    });
+    // The members may link to this process's address although none of theirs
+    // is known here.
+    const auto request = protocol::Encode(
+      protocol::JoinRequest{ mSettings.mMemberId, SelfAddress() });
+    for (const auto& [id, link] : mMemberLinks) {
+      link->Send(MessageType::JoinRequest, request);
+    }
+  }
+
+  /** Uses the membership that a member has named. Other processes that wait to
+   * join name none. */
+  void OnJoinReply(const coordination::consensus::Membership& aMembership)
+  {
+    const auto& members = aMembership.mMembers;
+    mJoinLinks->AddKnownMembers(aMembership);
+    if (!members.empty() && mCore->CurrentMembership().mMembers.empty()) {
+      mCore->SetRedirectHint(members[mNextHint++ % members.size()].mAddress);
+    }
+  }
+
+  /** Returns a core that continues from the opened data folder. */
+  std::unique_ptr<ControlCore> MakeCore(OpenedDataFolder aOpened)
+  {
+    if (const auto& torn = aOpened.mStorage->TruncatedTail()) {
+      service::Log(LogEvent::TornTailTruncated,
+                   { { "file", torn->mFile }, { "offset", torn->mOffset } });
+    }
+    LogRecovered(aOpened.mRecovered);
+    return std::make_unique<ControlCore>(MakeCoreOptions(mSettings),
+                                         aOpened.mRecovered,
+                                         std::move(aOpened.mStorage),
+                                         MakeHooks(),
+                                         mStatus,
+                                         mLoop);
+  }
+
+  /** Tries to open the data folder again after a storage error, as at a restart
+   * of the process. Without it, the member would count as a voter and never
+   * vote. */
+  void ReopenStorageIfFailed(base::Time aNow)
+  {
+    if (!mStatus.mStorageFailed || mIsReopening || aNow < mNextReopen) {
+      return;
+    }
+    mNextReopen = aNow + kReopenInterval;
+    auto opened = ReopenDataFolder();
+    if (!opened) {
+      service::Log(LogEvent::StorageFailed,
+                   { { "message", opened.LastFailure().mMessage } });
+      return;
+    }
+    mIsReopening = true;
+    mCore->Stop();
+    // Runs after all events that refer to the stopped core.
+    mLoop.Post(
+      [this, folder = std::make_shared<OpenedDataFolder>(std::move(*opened))] {
+        mIsReopening = false;
+        mCore = MakeCore(std::move(*folder));
+        if (mOperatorServer) {
+          mOperatorServer->SetCore(*mCore);
         }
+        mCore->Start();
+        service::Log(LogEvent::StorageReopened,
+                     { { "folder", mSettings.mDataFolder } });
       });
-    });
+  }
+
+  /** Opens the data folder of this member. A folder that has lost its founding
+   * file is refused: with an empty log the member could vote twice. */
+  base::Outcome<OpenedDataFolder> ReopenDataFolder()
+  {
+    const auto hasFoundingFile = HasFoundingFile(*mFiles, mSettings);
+    if (!hasFoundingFile) {
+      return hasFoundingFile.LastFailure();
+    }
+    if (!*hasFoundingFile) {
+      return base::Failure{ base::Reason::StorageFailed,
+                            mSettings.mDataFolder + ": is empty" };
+    }
+    return OpenDataFolder(*mFiles, mSettings);
   }
 
   static void LogRecovered(
@@ -437,9 +513,7 @@
     events.mUp = [this](const transport::LinkPtr& aLink) {
       mContext.mMetrics->Add(service::Counter::LinksOpened);
       service::Log(LogEvent::LinkUp, { { "peer", aLink->Peer().mName } });
-      if (aLink->Peer().mRole != transport::PeerRole::Control) {
-        mLoop.Post([this, aLink] { mSessions[aLink->Id()] = aLink; });
-      }
+      mLoop.Post([this, aLink] { LinksOf(aLink)[aLink->Id()] = aLink; });
     };
     events.mRefused = [](const std::string& aAddress) {
       service::Log(LogEvent::LinkRefused,
@@ -450,12 +524,13 @@
       service::Log(LogEvent::LinkDown,
                    { { "peer", aLink->Peer().mName },
                      { "reason", transport::ToString(aReason) } });
-      if (aLink->Peer().mRole != transport::PeerRole::Control) {
-        mLoop.Post([this, id = aLink->Id()] {
-          mSessions.erase(id);
-          mCore->GetCoordinator().OnSessionClosed(SessionId(id), Now());
-        });
-      }
+      mLoop.Post([this, aLink] {
+        LinksOf(aLink).erase(aLink->Id());
+        if (aLink->Peer().mRole != transport::PeerRole::Control) {
+          mCore->GetCoordinator().OnSessionClosed(SessionId(aLink->Id()),
+                                                  Now());
+        }
+      });
     };
     events.mFrame = [this](const transport::LinkPtr& aLink,
                            const protocol::Frame& aFrame) {
@@ -471,6 +546,14 @@
     return events;
   }
 
+  /** Returns the table for a link, by the role of its peer. */
+  std::unordered_map<std::uint64_t, transport::LinkPtr>& LinksOf(
+    const transport::LinkPtr& aLink)
+  {
+    return aLink->Peer().mRole == transport::PeerRole::Control ? mMemberLinks
+                                                               : mSessions;
+  }
+
   /** Decodes the frame on the network thread and posts it to the decision
    * thread. Returns false if it cannot be decoded or the peer's role may not
    * send its type. */
@@ -481,7 +564,7 @@
     using transport::PeerRole;
     switch (aFrame.mType) {
       case MessageType::Consensus:
-        return peer.mRole == PeerRole::Control && OnConsensus(peer.mId, aFrame);
+        return peer.mRole == PeerRole::Control && OnConsensus(aLink, aFrame);
       case MessageType::MemberQuery:
         return peer.mRole == PeerRole::Control &&
                DecodeAndPost<base::MemberId>(
@@ -498,6 +581,11 @@
                    aLink->Send(MessageType::JoinReply,
                                protocol::Encode(mCore->CurrentMembership()));
                  });
+      case MessageType::JoinReply:
+        return peer.mRole == PeerRole::Control &&
+               DecodeAndPost<coordination::consensus::Membership>(
+                 aFrame,
+                 [this](const auto& aMembership) { OnJoinReply(aMembership); });
       case MessageType::WorkloadRequest:
         return peer.mRole == PeerRole::Entry &&
                DecodeAndPost<protocol::WorkloadRequest>(
@@ -554,16 +642,19 @@
     }
   }
 
-  bool OnConsensus(std::uint64_t aPeer, const protocol::Frame& aFrame)
+  bool OnConsensus(const transport::LinkPtr& aLink,
+                   const protocol::Frame& aFrame)
   {
     auto message =
       protocol::Decode<coordination::consensus::Message>(aFrame.mPayload);
-    if (!message || message->mFrom.Value() != aPeer) {
+    if (!message || message->mFrom.Value() != aLink->Peer().mId) {
       return false;
     }
     if (message->mTo == mSettings.mMemberId) {
-      mLoop.Post(
-        [this, received = std::move(*message)] { mCore->Receive(received); });
+      mLoop.Post([this, aLink, received = std::move(*message)] {
+        mPeers->OnReceived(received.mFrom, aLink);
+        mCore->Receive(received);
+      });
     }
     return true;
   }
@@ -585,14 +676,20 @@
   service::ControlSettings mSettings; ///< as resolved from the data folder
   std::unique_ptr<state::FileSystem> mFiles;
   std::unique_ptr<PeerLinks> mPeers;
-  std::unique_ptr<ControlCore> mCore;
+  ControlStatus mStatus;
+  std::unique_ptr<ControlCore> mCore; ///< used by the decision thread only
+  base::Time mNextReopen{};
+  bool mIsReopening = false; ///< a new core is about to replace a stopped one
   std::unique_ptr<transport::LinkServer> mServer;
   std::unique_ptr<JoinLinks> mJoinLinks;
   std::unique_ptr<OperatorServer> mOperatorServer;
   base::Time mNextJoin{};
   base::Time mLeaderLastKnownAt{};
+  std::size_t mNextHint = 0; ///< index of the next member to redirect to
   /** Links of entries and agents; used by the decision thread only. */
   std::unordered_map<std::uint64_t, transport::LinkPtr> mSessions;
+  /** Links of control processes; used by the decision thread only. */
+  std::unordered_map<std::uint64_t, transport::LinkPtr> mMemberLinks;
   EventLoop mLoop;
   base::Time mHandoverStartedAt{};
   base::Time mLastTransferAt{};
--- a/dogwooddrum/daemon/OperatorServer.cpp
+++ b/dogwooddrum/daemon/OperatorServer.cpp
@@ -45,6 +45,12 @@
   return true;
 }
 
+void
+OperatorServer::SetCore(ControlCore& aCore)
+{
+  mCore = &aCore;
+}
+
 void
 OperatorServer::Handle(const transport::ServerRequest& aRequest,
                        const transport::ServerResponder& aResponder)
@@ -80,7 +86,7 @@
   if (!mCore->Status().mIsLeaderReady) {
     const auto leader =
       transport::ParseAddress(mCore->GetCoordinator().LeaderAddress());
-    if (leader) {
+    if (leader && mCore->Status().mLeaderId != 0) {
       Answer(call,
              mProtocol.Redirect({ leader->mHost, mPort }, aRequest),
              "redirected");
