--- a/tests/support/FakeFileSystem.cpp
+++ b/tests/support/FakeFileSystem.cpp
@@ -47,8 +47,18 @@
   base::Outcome<bool> Sync() override
   {
     auto done = mFiles.FailOrCountChange(mPath);
+    if (done && mFiles.mFailsNextSync) {
+      mFiles.mFailsNextSync = false;
+      mFile->mUnwrittenFrom = mFile->mDurableBytes.size();
+      mFile->mUnwrittenTo = mFile->mBytes.size();
+      return StorageFailure(mPath, "input/output error");
+    }
     if (done && !mFiles.mSkipsSyncs) {
       mFile->mDurableBytes = mFile->mBytes;
+      for (std::size_t i = mFile->mUnwrittenFrom; i < mFile->mUnwrittenTo;
+           ++i) {
+        mFile->mDurableBytes[i] = '\0';
+      }
       ++mFiles.mSyncs;
     }
     return done;
@@ -177,7 +187,11 @@
 {
   auto done = FailOrCountChange(aPath);
   if (done) {
-    mFiles[aPath]->mBytes.resize(aBytes);
+    File& file = *mFiles[aPath];
+    file.mBytes.resize(aBytes);
+    // Bytes that are written there again are new ones.
+    file.mUnwrittenTo =
+      std::min(file.mUnwrittenTo, static_cast<std::size_t>(aBytes));
   }
   return done;
 }
--- a/tests/support/FakeFileSystem.h
+++ b/tests/support/FakeFileSystem.h
@@ -26,6 +26,10 @@
   {
     std::string mBytes;
     std::string mDurableBytes; ///< content at the last sync
+    /** Bytes that a failed sync could not write, from the first to after the
+     * last. Later syncs of the file skip them and succeed, as on Linux. */
+    std::size_t mUnwrittenFrom = 0;
+    std::size_t mUnwrittenTo = 0;
   };
   using Folder = std::map<std::string, std::shared_ptr<File>>;
 
@@ -73,6 +77,7 @@
   Folder mFiles; ///< by full path
   bool mFull = false;
   bool mReadOnly = false;
+  bool mFailsNextSync = false; ///< an I/O error, reported once
   bool mSkipsSyncs = false; ///< injected fault: reports success without a sync
   std::uint64_t mSyncs = 0;
   /** Changes that still succeed; models a process that ends between changes. */
