Add a failing test of a member whose disk stays full

What callers see: with one disk full for good, the group keeps it as a voter although another process waits to join. With the next lost disk it has no quorum.

Cause, not fixed here: the member opens its folder again each second, which succeeds, since a full disk can be read. Until its next write fails it answers heartbeats, which need no write, so that its last contact never is older than the two seconds after which the leader replaces a voter. A leader whose disk is full is replaced: it cannot store the next term.

--- a/tests/platform/MemberDiscovery.cpp
+++ b/tests/platform/MemberDiscovery.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -118,6 +119,15 @@
     std::filesystem::remove_all(mFolder + "/data-" + aName);
   }
 
+  /** Makes all writes of the process fail, as on a full disk. */
+  void FillDisk(const std::string& aName) const
+  {
+    rlimit limit = {};
+    ::prlimit(mPids.at(aName), RLIMIT_FSIZE, nullptr, &limit);
+    limit.rlim_cur = 0;
+    ::prlimit(mPids.at(aName), RLIMIT_FSIZE, &limit, nullptr);
+  }
+
   bool IsReady(const std::string& aName) const
   {
     const auto outcome = Call(Ip(aName), kHttpPortOffset, "GET", "/readyz", "");
@@ -136,16 +146,17 @@
       kRecoveryLimit);
   }
 
-  bool PutConfiguration(const std::string& aName) const
+  bool PutConfiguration(const std::string& aName, int aVersion = 3) const
   {
-    const auto outcome = Call(
-      Ip(aName),
-      kOperatorPortOffset,
-      "PUT",
-      "/-/config",
-      R"({"version":3,"routes":[{"name":"r","host":"h","path_prefix":"/p/",)"
-      R"("service":"s","timeout_ms":3000}],"services":[{"name":"s"}],)"
-      R"("tenants":[{"name":"t","api_keys":["k"]}]})");
+    const auto outcome =
+      Call(Ip(aName),
+           kOperatorPortOffset,
+           "PUT",
+           "/-/config",
+           R"({"version":)" + std::to_string(aVersion) +
+             R"(,"routes":[{"name":"r","host":"h","path_prefix":"/p/",)"
+             R"("service":"s","timeout_ms":3000}],"services":[{"name":"s"}],)"
+             R"("tenants":[{"name":"t","api_keys":["k"]}]})");
     return outcome && outcome->mStatus == 200;
   }
 
@@ -299,5 +310,40 @@
     Eventually([&] { return group.IsReady("entry1"); }, kRecoveryLimit));
 }
 
+// A member whose disk stayed full opened its folder again each second and
+// answered heartbeats in between, so that the leader never replaced it.
+TEST(MemberDiscovery, MemberWhoseDiskStaysFullIsReplaced)
+{
+  std::signal(SIGXFSZ, SIG_IGN);
+  SeededGroup group;
+  const SeededGroup::Seeds names{ "control1", "control2", "control3" };
+  ASSERT_NO_FATAL_FAILURE(StartGroup(group, names, 1));
+  group.WriteControl("control4", names, false, 1);
+  group.Start("control4");
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  EXPECT_FALSE(group.IsReady("control4"));
+  int version = 3;
+  std::string leader;
+  ASSERT_TRUE(Eventually([&] {
+    ++version;
+    for (const auto& name : names) {
+      leader = group.PutConfiguration(name, version) ? name : leader;
+    }
+    return !leader.empty();
+  }));
+  // A follower knows the present term, so that it answers heartbeats without
+  // a write.
+  group.FillDisk(leader == names[0] ? names[1] : names[0]);
+  EXPECT_TRUE(Eventually(
+    [&] {
+      ++version;
+      for (const auto& name : names) {
+        group.PutConfiguration(name, version);
+      }
+      return group.IsReady("control4");
+    },
+    kRecoveryLimit));
+}
+
 } // namespace
 } // namespace dogwooddrum::tests
