Add a failing test of entries for jobs that ignore later settings

What callers see: an entry for jobs that starts while its settings name no member never becomes ready, also after the settings name the group.

Cause, not fixed here: JobEntryHost and JobAgentHost ignore changed settings. As the leader's replies to them name no members either, they also lose the group once all members in their settings have been replaced.

--- a/tests/platform/MemberDiscovery.cpp
+++ b/tests/platform/MemberDiscovery.cpp
@@ -85,6 +85,17 @@
         "\n");
   }
 
+  /** Writes the settings of an entry for jobs, which has no frontend. */
+  void WriteJobEntry(const std::string& aName, const Seeds& aSeeds)
+  {
+    std::string addresses;
+    for (const auto& name : aSeeds) {
+      addresses += (addresses.empty() ? "" : ",") + Ip(name) + ":" +
+                   std::to_string(mPort + kLinkPortOffset);
+    }
+    WriteSettings(aName, "entry", "control_addresses = " + addresses + "\n");
+  }
+
   void Start(const std::string& aName)
   {
     const std::string settings = mFolder + "/" + aName + ".ini";
@@ -310,6 +321,25 @@
     Eventually([&] { return group.IsReady("entry1"); }, kRecoveryLimit));
 }
 
+// Entries and agents for jobs ignored settings that changed, so that one that
+// started while no member was known never found the group.
+TEST(MemberDiscovery, JobEntriesFindTheGroupThroughLaterSettings)
+{
+  SeededGroup group;
+  const SeededGroup::Seeds names{ "control1", "control2", "control3" };
+  ASSERT_NO_FATAL_FAILURE(StartGroup(group, names, 1));
+  group.WriteJobEntry("entry1", { "control1" });
+  group.Start("entry1");
+  EXPECT_TRUE(
+    Eventually([&] { return group.IsReady("entry1"); }, kRecoveryLimit));
+  group.WriteJobEntry("entry2", {});
+  group.Start("entry2");
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  group.WriteJobEntry("entry2", { "control1" });
+  EXPECT_TRUE(
+    Eventually([&] { return group.IsReady("entry2"); }, kRecoveryLimit));
+}
+
 // A member whose disk stayed full opened its folder again each second and
 // answered heartbeats in between, so that the leader never replaced it.
 TEST(MemberDiscovery, MemberWhoseDiskStaysFullIsReplaced)
