--- a/tests/correctness/RunEndProof.cpp
+++ b/tests/correctness/RunEndProof.cpp
@@ -186,13 +186,13 @@
   WorkerAgent agent({});
   protocol::TargetInfo info;
   info.mTargetIncarnation = kFirst;
-  EXPECT_STREQ(agent.WhyDropsLeft("i-1"), "no target is present");
+  EXPECT_STREQ(agent.WhyDropsLeaveMessage("i-1"), "no target is present");
   EXPECT_EQ(agent.WhyDrops(info, 5), nullptr);
   EXPECT_TRUE(agent.OnAnnounced(info, 5, At(0)));
   EXPECT_STREQ(agent.WhyDrops(info, 5), "a newer message has arrived");
   EXPECT_EQ(agent.WhyDrops(info, 6), nullptr);
-  EXPECT_STREQ(agent.WhyDropsLeft("i-2"), "another instance is present");
-  EXPECT_EQ(agent.WhyDropsLeft("i-1"), nullptr);
+  EXPECT_STREQ(agent.WhyDropsLeaveMessage("i-2"), "another instance is present");
+  EXPECT_EQ(agent.WhyDropsLeaveMessage("i-1"), nullptr);
   auto next = info;
   next.mTargetIncarnation = kSecond;
   EXPECT_TRUE(agent.OnAnnounced(next, 1, At(1)));
