--- a/tests/error/FirstStartPowerLoss.cpp
+++ b/tests/error/FirstStartPowerLoss.cpp
@@ -37,8 +37,9 @@
   service::ControlSettings settings;
   settings.mDataFolder = kDataFolder;
   settings.mBootstrap = aBootstrap;
+  settings.mSeeds.emplace();
   for (const char* ip : kSeedIps) {
-    settings.mSeeds.push_back({ ip, 9000 });
+    settings.mSeeds->push_back({ ip, 9000 });
   }
   const auto resolved = ResolveMemberSettings(aFiles, common, settings);
   if (!resolved) {
