Write the newest log segment again when a data folder is opened

What callers could see: an acknowledged change that is lost after a failed sync and a loss of power; a member whose disk stays full that is never replaced.

Cause: after a failed sync Linux keeps the bytes in its cache as if they were written. A member that opened its folder again, or was restarted, read them, and the sync at its start wrote nothing. Opening needed no write either, so that a follower with a full disk answered heartbeats between two errors, and counted as in contact.

Change: opening a log copies its newest segment, syncs the copy and renames it. A member whose disk takes no writes stays withdrawn and can be replaced.

Evidence: FailedSync and MemberDiscovery.MemberWhoseDiskStaysFullIsReplaced failed before and pass.

--- a/dogwooddrum/state/Storage.cpp
+++ b/dogwooddrum/state/Storage.cpp
@@ -108,21 +108,22 @@
   }
 
   /**
-   * Opens the newest segment for appending, or creates the first one. Syncs
-   * the newest segment and the folder, because after a crash of the process
-   * alone, what recovery read may be in the page cache only.
+   * Opens the newest segment for appending, or creates the first one. Writes
+   * the newest segment again and syncs the folder, because what recovery read
+   * may be in the page cache only: after a crash of the process alone, or after
+   * a failed sync, which a later sync of the same file does not make good.
    */
   base::Outcome<bool> Start()
   {
     if (mSegments.empty()) {
       return StartSegment(1);
     }
-    auto done = OpenSegment();
+    auto done = RewriteNewestSegment();
     if (done) {
-      done = mFile->Sync();
+      done = mFiles.SyncFolder(mOptions.mFolder);
     }
     if (done) {
-      done = mFiles.SyncFolder(mOptions.mFolder);
+      done = OpenSegment();
     }
     return done && mMustDropSuffix ? RecordSuffixRemoval() : done;
   }
@@ -191,6 +192,27 @@
     return opened ? mFiles.SyncFolder(mOptions.mFolder) : opened;
   }
 
+  /** Replaces the newest segment by a synced copy. The copy also shows that the
+   * disk takes writes. */
+  base::Outcome<bool> RewriteNewestSegment()
+  {
+    const std::string path = Path(SegmentName(mSegments.back().mNumber));
+    const std::string temporary = path + std::string(kTemporarySuffix);
+    const auto bytes = mFiles.Read(path);
+    if (!bytes) {
+      return bytes.LastFailure();
+    }
+    auto copy = mFiles.OpenAppend(temporary);
+    if (!copy) {
+      return copy.LastFailure();
+    }
+    auto done = (*copy)->Append(*bytes);
+    if (done) {
+      done = (*copy)->Sync();
+    }
+    return done ? mFiles.Rename(temporary, path) : done;
+  }
+
   base::Outcome<bool> OpenSegment()
   {
     auto file = mFiles.OpenAppend(Path(SegmentName(mSegments.back().mNumber)));
