Let entries and agents for jobs use changed lists of members

What callers saw: an entry for jobs that starts while its settings name no member never becomes ready.

Cause: JobEntryHost and JobAgentHost ignored changed settings.

Evidence: MemberDiscovery.JobEntriesFindTheGroupThroughLaterSettings failed before and passes. The agent's side has no test of its own.

--- a/dogwooddrum/daemon/JobAgentHost.cpp
+++ b/dogwooddrum/daemon/JobAgentHost.cpp
@@ -138,7 +138,14 @@
   /** The work of tasks that are not repeatable would be lost for good. */
   bool MayExitUndrained() override { return !mHoldsUnrepeatable; }
 
-  void Reload(const service::Settings&) override {}
+  void Reload(const service::Settings& aSettings) override
+  {
+    std::vector<std::string> addresses;
+    for (const auto& address : aSettings.mAgent.mControlAddresses) {
+      addresses.push_back(service::ToString(address));
+    }
+    mLinks->AddMembers(addresses);
+  }
   std::size_t TasksInProgress() override { return mHeldTaskCount; }
 
   void Stop() override
--- a/dogwooddrum/daemon/JobEntryHost.cpp
+++ b/dogwooddrum/daemon/JobEntryHost.cpp
@@ -99,7 +99,14 @@
   void CloseListeners() override {}
   bool IsDrained() override { return mTable->InProgress() == 0; }
   bool MayExitUndrained() override { return true; }
-  void Reload(const service::Settings&) override {}
+  void Reload(const service::Settings& aSettings) override
+  {
+    std::vector<std::string> addresses;
+    for (const auto& address : aSettings.mEntry.mControlAddresses) {
+      addresses.push_back(service::ToString(address));
+    }
+    mLinks->AddMembers(addresses);
+  }
   std::size_t TasksInProgress() override { return 0; }
 
   void Stop() override
