Take two refused connections for the end of a target that leaves

Cause: a connection that is reset while it is opened looks like a refused one. With a late DELETE before, one of them gave up runs that went on.

Change: the agent counts refused connections since the last list, and gives up the runs after two.

--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -9,6 +9,7 @@
 /** Ended incarnations that are reported, for leaders that have no report of
  * their end yet. */
 constexpr std::size_t kMaxEndedIncarnations = 4;
+constexpr unsigned kRefusalsThatShowAnEnd = 2;
 
 /** A target lists at most this many ends at a time; a list of fewer is whole.
  */
@@ -129,7 +130,8 @@
   base::Time aCalledAt)
 {
   if (!mTarget || mTarget->mTargetIncarnation != aTargetIncarnation ||
-      !mLeaveMessageAt || aCalledAt < *mLeaveMessageAt) {
+      !mLeaveMessageAt || aCalledAt < *mLeaveMessageAt ||
+      ++mRefusals < kRefusalsThatShowAnEnd) {
     return false;
   }
   ResetTarget();
@@ -149,6 +151,7 @@
   }
   mTarget.reset();
   mLeaveMessageAt.reset();
+  mRefusals = 0;
   mAnnounceSequence = 0;
   // With a higher token, the first renewal of the next incarnation fences late
   // orders to this incarnation, before the leader has a report of the next one.
@@ -233,6 +236,7 @@
   mClockMs = aClockMs;
   mClockAt = aNow;
   mListCalledAt = aCalledAt;
+  mRefusals = 0;
   mRunning = std::move(aRunning);
   mEnded = std::move(aEnded);
   mHasRunLists = true;
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -89,7 +89,8 @@
   void OnLeaveMessage(const std::string& aInstance, base::Time aNow);
   /** Handles a refused connection to the target, called at aCalledAt. Returns
    * whether this shows that the target has ended, as its planned end had come
-   * before. */
+   * before. A single refusal may be a reset of a connection that was being
+   * opened, so that two calls without a list between them are needed. */
   bool OnConnectionRefused(
     const protocol::TargetIncarnation& aTargetIncarnation,
     base::Time aCalledAt);
@@ -151,6 +152,7 @@
   std::uint64_t mAnnounceSequence = 0; ///< newest from mTarget
   base::Time mAnnouncedAt;
   std::optional<base::Time> mLeaveMessageAt; ///< see OnLeaveMessage
+  unsigned mRefusals = 0; ///< connections refused since then and the last list
   std::vector<protocol::EndedIncarnation> mEndedIncarnations;
 
   base::Term mTerm;
