Make the data folder and the log folder durable before the founding file

What is seen: a member whose first start was followed by a loss of power refuses to start for good, "is empty, but member ... is an existing member". Or it comes back with an empty disk under a new id, although it had already started as a founding member.

Cause: the log folder is created in the data folder, and the data folder in its parent, without a sync of the folder that holds the new name. The founding file can be kept without the log folder, or all of it be lost after the start.

Change: WriteFoundingFile syncs the parent of the data folder and the data folder before the rename that makes the founding file visible. Folders above the parent are not synced.

Evidence: two new tests cut the power after each file operation of a first start, and of the start after an interrupted one, and keep each set of the unsynced folder changes.

--- a/dogwooddrum/daemon/DataFolder.cpp
+++ b/dogwooddrum/daemon/DataFolder.cpp
@@ -4,6 +4,7 @@
 #include "dogwooddrum/protocol/Codec.h"
 
 #include <algorithm>
+#include <filesystem>
 #include <random>
 
 namespace dogwooddrum::daemon {
@@ -36,8 +37,23 @@
   return membership;
 }
 
-/** Writes the founding file atomically: after a crash it is complete or
- * absent. */
+std::string
+ParentFolder(const std::string& aFolder)
+{
+  std::filesystem::path path(aFolder);
+  if (!path.has_filename()) {
+    path = path.parent_path(); // drops a slash at the end
+  }
+  const std::string parent = path.parent_path().string();
+  return parent.empty() ? "." : parent;
+}
+
+/**
+ * Writes the founding file atomically: after a crash it is complete or absent.
+ * The data folder and the log folder are durable before it. A founding file
+ * without a log is refused, and a member whose data folder is lost would come
+ * back as one that lost its disk.
+ */
 base::Outcome<bool>
 WriteFoundingFile(state::FileSystem& aFiles,
                   const std::string& aFolder,
@@ -53,6 +69,12 @@
   if (done) {
     done = (*file)->Sync();
   }
+  if (done) {
+    done = aFiles.SyncFolder(ParentFolder(aFolder));
+  }
+  if (done) {
+    done = aFiles.SyncFolder(aFolder);
+  }
   if (done) {
     done = aFiles.Rename(temporary, aFolder + "/" + kFoundingFileName);
   }
--- a/tests/error/FirstStartPowerLoss.cpp
+++ b/tests/error/FirstStartPowerLoss.cpp
@@ -123,4 +123,76 @@
   EXPECT_FALSE(Start(files, false)) << "the first refusal changed the folder";
 }
 
+// The founding file could survive a loss of power that lost the folder of the
+// log, and the data folder could be lost with the votes in it: the first is
+// refused for good, the second lets a founding member come back as a new one.
+TEST(FirstStartPowerLoss, LossOfAnyUnsyncedChangeLeavesAMemberThatStarts)
+{
+  const base::MemberId seed = SeedId();
+  for (const bool bootstrapsAgain : { false, true }) {
+    for (std::uint64_t changes = 0; changes < kMaxChanges; ++changes) {
+      const auto interrupt = [changes](FakeFileSystem& aFiles) {
+        aFiles.mRemainingChanges = changes;
+        return static_cast<bool>(Start(aFiles, true));
+      };
+      FakeFileSystem probe;
+      interrupt(probe);
+      ASSERT_LE(probe.UnsyncedChanges(), 10U);
+      const std::uint64_t sets = 1ULL << probe.UnsyncedChanges();
+      for (std::uint64_t kept = 0; kept < sets; ++kept) {
+        for (const auto tail : { FakeFileSystem::Tail::Lost,
+                                 FakeFileSystem::Tail::Torn,
+                                 FakeFileSystem::Tail::Kept }) {
+          FakeFileSystem files;
+          const bool isStarted = interrupt(files);
+          files.LosePower(kept, tail);
+          const auto next = Start(files, bootstrapsAgain);
+          const std::string mismatch = FindMismatch(next, seed);
+          EXPECT_EQ(mismatch, "") << changes << " changes, kept " << kept;
+          if (mismatch.empty() && (isStarted || bootstrapsAgain)) {
+            EXPECT_EQ(next->mId, seed) << changes << " changes, kept " << kept;
+          }
+        }
+      }
+    }
+  }
+}
+
+// The removal of the id of an interrupted first start can itself be
+// interrupted.
+TEST(FirstStartPowerLoss, InterruptedRejoinLeavesAMemberThatStarts)
+{
+  const base::MemberId seed = SeedId();
+  for (std::uint64_t changes = 0; changes < kMaxChanges; ++changes) {
+    for (std::uint64_t more = 0; more < kMaxChanges; ++more) {
+      bool isStarted = false;
+      base::MemberId id;
+      const auto interrupt = [&](FakeFileSystem& aFiles) {
+        aFiles.mRemainingChanges = changes;
+        Start(aFiles, true);
+        aFiles.LosePower(kAllChanges, FakeFileSystem::Tail::Kept);
+        aFiles.mRemainingChanges = more;
+        const auto started = Start(aFiles, false);
+        isStarted = static_cast<bool>(started);
+        id = started ? started->mId : base::MemberId();
+      };
+      FakeFileSystem probe;
+      interrupt(probe);
+      ASSERT_LE(probe.UnsyncedChanges(), 10U);
+      const std::uint64_t sets = 1ULL << probe.UnsyncedChanges();
+      for (std::uint64_t kept = 0; kept < sets; ++kept) {
+        FakeFileSystem files;
+        interrupt(files);
+        files.LosePower(kept, FakeFileSystem::Tail::Torn);
+        const auto next = Start(files, false);
+        const std::string mismatch = FindMismatch(next, seed);
+        EXPECT_EQ(mismatch, "") << changes << ", " << more << ", " << kept;
+        if (mismatch.empty() && isStarted) {
+          EXPECT_EQ(next->mId, id) << changes << ", " << more << ", " << kept;
+        }
+      }
+    }
+  }
+}
+
 } // namespace dogwooddrum::daemon
