--- a/tests/error/WorkloadRandomFaults.cpp
+++ b/tests/error/WorkloadRandomFaults.cpp
@@ -136,5 +136,14 @@
                          WorkloadFaultSeeds,
                          testing::Values(740));
 
+// In these seeds, a restarted target carries out an order to its earlier
+// incarnation before it has announced the new one. No call fences it by then.
+INSTANTIATE_TEST_SUITE_P(OpenOrdersToAnEarlierIncarnation,
+                         WorkloadFaultSeeds,
+                         testing::Values(909, 936, 1151, 1775, 1908));
+INSTANTIATE_TEST_SUITE_P(OpenOrdersToAnEarlierIncarnation,
+                         WorkloadPowerLossSeeds,
+                         testing::Values(1539));
+
 } // namespace
 } // namespace dogwooddrum::tests
