--- a/tests/error/WorkloadRandomFaults.cpp
+++ b/tests/error/WorkloadRandomFaults.cpp
@@ -143,7 +143,7 @@
                          testing::Values(909, 936, 1151, 1775, 1908));
 INSTANTIATE_TEST_SUITE_P(OpenOrdersToAnEarlierIncarnation,
                          WorkloadPowerLossSeeds,
-                         testing::Values(1539));
+                         testing::Values(1539, 1774));
 
 } // namespace
 } // namespace dogwooddrum::tests
