--- /dev/null
+++ b/dogwooddrum/daemon/ControlCoreSettings.cpp
@@ -0,0 +1,43 @@
+#include "dogwooddrum/daemon/ControlCoreSettings.h"
+
+#include <random>
+
+namespace dogwooddrum::daemon {
+
+ControlCoreOptions
+MakeCoreOptions(const service::ControlSettings& aSettings)
+{
+  std::random_device device;
+  ControlCoreOptions options;
+  options.mSnapshotEntries = aSettings.mSnapshotEntries;
+  options.mRaft.mSelf = aSettings.mMemberId;
+  options.mRaft.mSeed = device();
+  auto& coordinator = options.mCoordinator;
+  coordinator.mSelf = aSettings.mMemberId;
+  coordinator.mSeed = device();
+  coordinator.mMaxQueuedJobs = aSettings.mMaxQueuedJobs;
+  coordinator.mMaxStoredAnswerBytes =
+    static_cast<std::uint64_t>(aSettings.mMaxStoredAnswerMb) << 20;
+  coordinator.mAnswerRetention = aSettings.mAnswerRetention;
+  auto& placer = coordinator.mPlacer;
+  placer.mPreemption = aSettings.mPreemption;
+  placer.mCompaction = aSettings.mCompaction;
+  placer.mPreemptionGrace = aSettings.mPreemptionGrace;
+  placer.mReservationAge = aSettings.mReservationAge;
+  placer.mCompactionMovesPerMinute = aSettings.mCompactionMovesPerMinute;
+  placer.mInteractiveBorrowShare = aSettings.mInteractiveBorrowPercent / 100.0;
+  placer.mFailuresToQuarantine = aSettings.mFailuresToQuarantine;
+  placer.mQuarantineTime = aSettings.mQuarantineTime;
+  auto& workloads = coordinator.mWorkloads;
+  workloads.mTaskLease = aSettings.mTaskLease;
+  workloads.mStopTime = aSettings.mStopTime;
+  workloads.mRestoreTime = aSettings.mRestoreTime;
+  workloads.mPolicies = aSettings.mPolicies;
+  if (aSettings.mSeeds) {
+    options.mRepair.emplace();
+    options.mRepair->mIntendedVoters = 2 * aSettings.mToleratedLosses + 1;
+  }
+  return options;
+}
+
+} // namespace dogwooddrum::daemon
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -1,5 +1,6 @@
 #include "dogwooddrum/daemon/Clock.h"
 #include "dogwooddrum/daemon/ControlCore.h"
+#include "dogwooddrum/daemon/ControlCoreSettings.h"
 #include "dogwooddrum/daemon/DataFolder.h"
 #include "dogwooddrum/daemon/ElectionLog.h"
 #include "dogwooddrum/daemon/EventLoop.h"
@@ -10,12 +11,11 @@
 #include "dogwooddrum/daemon/Notices.h"
 #include "dogwooddrum/daemon/OperatorServer.h"
 #include "dogwooddrum/daemon/PeerLinks.h"
+#include "dogwooddrum/daemon/SessionMessages.h"
 #include "dogwooddrum/protocol/Codec.h"
 #include "dogwooddrum/service/LogEvents.h"
 #include "dogwooddrum/transport/LinkServer.h"
 
-#include <algorithm>
-#include <random>
 #include <set>
 #include <unordered_map>
 
@@ -45,84 +45,6 @@
 /** Time after the transfer in which the last redirects are sent. */
 constexpr base::Duration kRedirectGrace = base::Milliseconds(200);
 
-ControlCoreOptions
-MakeCoreOptions(const service::ControlSettings& aSettings)
-{
-  std::random_device device;
-  ControlCoreOptions options;
-  options.mSnapshotEntries = aSettings.mSnapshotEntries;
-  options.mRaft.mSelf = aSettings.mMemberId;
-  options.mRaft.mSeed = device();
-  auto& coordinator = options.mCoordinator;
-  coordinator.mSelf = aSettings.mMemberId;
-  coordinator.mSeed = device();
-  coordinator.mMaxQueuedJobs = aSettings.mMaxQueuedJobs;
-  coordinator.mMaxStoredAnswerBytes =
-    static_cast<std::uint64_t>(aSettings.mMaxStoredAnswerMb) << 20;
-  coordinator.mAnswerRetention = aSettings.mAnswerRetention;
-  auto& placer = coordinator.mPlacer;
-  placer.mPreemption = aSettings.mPreemption;
-  placer.mCompaction = aSettings.mCompaction;
-  placer.mPreemptionGrace = aSettings.mPreemptionGrace;
-  placer.mReservationAge = aSettings.mReservationAge;
-  placer.mCompactionMovesPerMinute = aSettings.mCompactionMovesPerMinute;
-  placer.mInteractiveBorrowShare = aSettings.mInteractiveBorrowPercent / 100.0;
-  placer.mFailuresToQuarantine = aSettings.mFailuresToQuarantine;
-  placer.mQuarantineTime = aSettings.mQuarantineTime;
-  auto& workloads = coordinator.mWorkloads;
-  workloads.mTaskLease = aSettings.mTaskLease;
-  workloads.mStopTime = aSettings.mStopTime;
-  workloads.mRestoreTime = aSettings.mRestoreTime;
-  workloads.mPolicies = aSettings.mPolicies;
-  if (aSettings.mSeeds) {
-    options.mRepair.emplace();
-    options.mRepair->mIntendedVoters = 2 * aSettings.mToleratedLosses + 1;
-  }
-  return options;
-}
-
-/** Returns the frame type of a message to a session. */
-MessageType
-MessageTypeOf(const Outgoing& aMessage)
-{
-  struct Visitor
-  {
-    MessageType operator()(const protocol::ClientReply&) const
-    {
-      return MessageType::ClientReply;
-    }
-    MessageType operator()(const protocol::FreshnessReply&) const
-    {
-      return MessageType::FreshnessReply;
-    }
-    MessageType operator()(const protocol::HeartbeatReply&) const
-    {
-      return MessageType::HeartbeatReply;
-    }
-    MessageType operator()(const protocol::TaskCommand&) const
-    {
-      return MessageType::TaskCommand;
-    }
-    MessageType operator()(const protocol::AnswerAck&) const
-    {
-      return MessageType::AnswerAck;
-    }
-    MessageType operator()(const protocol::NotLeader&) const
-    {
-      return MessageType::NotLeader;
-    }
-    MessageType operator()(const protocol::WorkloadReply&) const
-    {
-      return MessageType::WorkloadReply;
-    }
-    MessageType operator()(const protocol::WorkerOrders&) const
-    {
-      return MessageType::WorkerOrders;
-    }
-  };
-  return std::visit(Visitor{}, aMessage.mMessage);
-}
-
 /** Runs a control member: its links, its decision thread and its core. */
 class ControlHost final : public Host
 {
