--- a/tests/error/WorkerAgentReports.cpp
+++ b/tests/error/WorkerAgentReports.cpp
@@ -85,10 +85,9 @@
 {
   auto agent = MakeAgent();
   agent.OnLeaveMessage(kTargetIncarnation.mInstance, At(312));
-  for (int i = 1; i < 5; ++i) {
-    EXPECT_FALSE(agent.OnConnectionRefused(kTargetIncarnation, At(400 * i)));
-    agent.OnListing(
-      kTargetIncarnation, 400 * i, {}, {}, At(400 * i + 1), At(400 * i + 2));
+  for (std::int64_t ms = 400; ms < 2000; ms += 400) {
+    EXPECT_FALSE(agent.OnConnectionRefused(kTargetIncarnation, At(ms)));
+    agent.OnListing(kTargetIncarnation, ms, {}, {}, At(ms + 1), At(ms + 2));
   }
   EXPECT_TRUE(agent.MakeReport(At(3000)).mTarget);
 }
