--- a/tests/platform/soak/SoakOptions.h
+++ b/tests/platform/soak/SoakOptions.h
@@ -54,6 +54,7 @@
   int mWiped = 0;               ///< disks lost in the final fault
   bool mRestartTargets = false; ///< in the final fault
   std::int64_t mDownMs = 2000;  ///< time without power in the final fault
+  std::int64_t mSpreadMs = 300; ///< in which all processes start then
   RestartList mRestartList = RestartList::Usual;
   Replacement mReplacement = Replacement::None;
   std::int64_t mSettleMs = 6000; ///< from the last replacement to the fault
