Log and measure what the first waiting unit of a queue lacks

Cause: nothing told whether a waiting gang lacked resources in all, resources on enough workers, a rack, or what is kept for urgent work, so that the hypotheses of the incident could not be told apart.

Change: the leader records the first waiting unit of each pool and priority. queue_head_waited divides its wait by cause, queue_head_overdue reports a unit that can no longer meet its objective, and queue_head_wait_seconds and queue_heads_overdue_total are their metrics. No change of decisions.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -121,18 +121,27 @@
 }
 
 /** Removes the headroom for urgent work from the views, so that the units
- * placed afterwards cannot use it. */
-void
+ * placed afterwards cannot use it. Returns what was removed from each view. */
+std::vector<ResourceVector>
 ReservePoolHeadrooms(LeaderContext& aLeader, std::vector<WorkerView>& aViews)
 {
+  std::vector<ResourceVector> taken;
   if (!aLeader.mOptions.mPolicies.mUrgentHeadroom) {
-    return;
+    return taken;
+  }
+  taken.reserve(aViews.size());
+  for (const WorkerView& view : aViews) {
+    taken.push_back(view.mFree);
   }
   const auto& options = aLeader.mOptions.mHeadroom;
   for (auto& [pool, demand] : aLeader.mUrgentDemand) {
     ReserveHeadroom(
       pool, demand.Headroom(aLeader.mNow, options), aViews, options);
   }
+  for (std::size_t i = 0; i < aViews.size(); ++i) {
+    taken[i] = taken[i] - aViews[i].mFree;
+  }
+  return taken;
 }
 
 /** Stops less urgent runs so that the unit fits. Returns whether the resources
@@ -156,6 +165,27 @@
   return true;
 }
 
+/** Records why the unit was not placed if it is the first of its level. */
+void
+RecordHeadWait(LeaderContext& aLeader,
+               const PlacementUnit& aUnit,
+               const std::vector<WorkerView>& aViews,
+               const std::vector<ResourceVector>& aHeadroom)
+{
+  if (aLeader.mQueueHeads.HasHead({ aUnit.mPool, aUnit.mPriority })) {
+    return;
+  }
+  const auto latestStart =
+    aUnit.mDueAtMs - static_cast<std::int64_t>(aUnit.mStep->mEstimateMs);
+  auto event = aLeader.mQueueHeads.OnHeadWaits(
+    aUnit,
+    FindHeadWaitCause(aUnit, aViews, aHeadroom),
+    base::Milliseconds(latestStart - UnixMs(aLeader)));
+  if (event) {
+    aLeader.mOutput.mWorkloadEvents.push_back(std::move(*event));
+  }
+}
+
 } // namespace
 
 void
@@ -188,7 +218,9 @@
   auto units = CollectUnits(aLeader, views, guarantees);
   const WorkloadStep* fullStep = nullptr; // no further task of it fits
   bool isHeadroomReserved = false;
+  std::vector<ResourceVector> headroom;
   StepPlacements placed;
+  aLeader.mQueueHeads.Begin(aLeader.mNow);
   for (PlacementUnit& unit : units) {
     if (unit.mStep == fullStep) {
       continue;
@@ -196,7 +228,7 @@
     const bool urgent = unit.mPriority == 0;
     if (!urgent && !unit.mStep->mLongRunning && !isHeadroomReserved) {
       isHeadroomReserved = true;
-      ReservePoolHeadrooms(aLeader, views);
+      headroom = ReservePoolHeadrooms(aLeader, views);
     }
     placed.ApplyTo(unit);
     if (const auto assignment =
@@ -207,6 +239,12 @@
     }
     const bool isPreempting = urgent && PreemptFor(aLeader, unit, views);
     fullStep = isPreempting ? nullptr : unit.mStep;
+    if (!isPreempting) {
+      RecordHeadWait(aLeader, unit, views, headroom);
+    }
+  }
+  for (WorkloadEvent& event : aLeader.mQueueHeads.Finish()) {
+    aLeader.mOutput.mWorkloadEvents.push_back(std::move(event));
   }
 }
 
--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "dogwooddrum/coordination/workloads/Headroom.h"
+#include "dogwooddrum/coordination/workloads/QueueHeads.h"
 #include "dogwooddrum/coordination/workloads/RunTimeEstimator.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
 
@@ -108,6 +109,7 @@
   std::map<std::string, TargetIncarnation> mTargetByAgent;
   std::map<TaskId, base::Time> mReadySince;
   RunTimeEstimator mRunTimeEstimator;
+  QueueHeads mQueueHeads;
   std::map<protocol::PoolName, UrgentDemand> mUrgentDemand;
   std::map<TaskId, std::set<TargetIncarnation>> mFailedOn;
   std::map<WorkloadId, std::vector<PendingRequest>> mPendingSubmits;
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -470,6 +470,28 @@
   return least;
 }
 
+bool
+FitsOnAnyRack(const PlacementUnit& aUnit, std::vector<WorkerView> aWorkers)
+{
+  return PlaceTasks(aUnit, aWorkers, [](const WorkerView&) { return true; })
+    .has_value();
+}
+
+bool
+FitsInTotal(const PlacementUnit& aUnit, const std::vector<WorkerView>& aWorkers)
+{
+  ResourceVector free;
+  for (const WorkerView& worker : aWorkers) {
+    if (IsEligible(aUnit, worker)) {
+      free = free + worker.mFree;
+    }
+  }
+  for (std::size_t i = 0; i < aUnit.mTasks.size(); ++i) {
+    free = free - ResourcesOf(*aUnit.mStep);
+  }
+  return Fits(ResourcesOf(*aUnit.mStep), free + ResourcesOf(*aUnit.mStep));
+}
+
 bool
 IsFeasible(const PlacementUnit& aUnit, std::vector<WorkerView> aWorkers)
 {
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -149,6 +149,16 @@
 LowestUtilization(const protocol::PoolName& aPool,
                   const std::vector<WorkerView>& aWorkers);
 
+/** Returns whether the unit fits into the free resources, on any racks. */
+bool
+FitsOnAnyRack(const PlacementUnit& aUnit, std::vector<WorkerView> aWorkers);
+
+/** Returns whether the sum of the free resources of all eligible workers is
+ * enough for the unit. */
+bool
+FitsInTotal(const PlacementUnit& aUnit,
+            const std::vector<WorkerView>& aWorkers);
+
 /** Returns whether the unit would fit if its pool's workers were idle. */
 bool
 IsFeasible(const PlacementUnit& aUnit, std::vector<WorkerView> aWorkers);
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -369,7 +369,7 @@
          std::vector<std::pair<std::string_view, std::string>> aFields)
 {
   aLeader.mOutput.mWorkloadEvents.push_back(
-    WorkloadEvent{ aKind, std::move(aFields) });
+    WorkloadEvent{ aKind, std::move(aFields), {} });
 }
 
 std::string
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.h
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.h
@@ -67,9 +67,13 @@
     WorkerLost,
     WorkerSuspected,
     CatalogAdopted,
+    QueueHeadWaited,
+    QueueHeadOverdue,
   };
   Kind mKind = Kind::Accepted;
   std::vector<std::pair<std::string_view, std::string>> mFields;
+  /** Of QueueHeadWaited, for the metric: pool/priority/cause, and the wait. */
+  std::vector<std::pair<std::string, base::Duration>> mHeadWaits;
 };
 
 struct WorkloadSchedulerMessage
--- a/dogwooddrum/daemon/Notices.cpp
+++ b/dogwooddrum/daemon/Notices.cpp
@@ -101,7 +101,7 @@
     LogEvent mEvent;
     std::optional<Counter> mCounter;
   };
-  static constexpr std::array<EventMapping, 12> kEventMappings{ {
+  static constexpr std::array<EventMapping, 14> kEventMappings{ {
     { Kind::Accepted, LogEvent::WorkloadAccepted, Counter::RequestsAccepted },
     { Kind::Rejected, LogEvent::WorkloadRejected, std::nullopt },
     { Kind::Cancelled, LogEvent::WorkloadCancelled, Counter::JobsCancelled },
@@ -118,7 +118,15 @@
     { Kind::CatalogAdopted,
       LogEvent::CatalogAdopted,
       Counter::ConfigurationChanges },
+    { Kind::QueueHeadWaited, LogEvent::QueueHeadWaited, std::nullopt },
+    { Kind::QueueHeadOverdue,
+      LogEvent::QueueHeadOverdue,
+      Counter::QueueHeadsOverdue },
   } };
+  for (const auto& [profile, wait] : aEvent.mHeadWaits) {
+    aMetrics.Observe(
+      Distribution::QueueHeadWait, base::ProfileId(profile), wait);
+  }
   for (const EventMapping& mapping : kEventMappings) {
     if (mapping.mKind != aEvent.mKind) {
       continue;
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -500,6 +500,29 @@
       "A control member answered an operator.",
       "redirected names the leader; for invalid see the response; for "
       "no_leader see leader_unknown." },
+    { LogEvent::QueueHeadWaited,
+      LogLevel::Info,
+      "queue_head_waited",
+      "task {task} was first of priority {priority} in {pool} for {waited_ms} "
+      "ms without resources",
+      "The first waiting task or gang of a priority has started, or another is "
+      "first now. The other fields divide the wait by what was missing: "
+      "resources in all, resources on enough workers (fragmentation), a rack "
+      "(locality), or resources other than those kept for urgent work "
+      "(headroom). Logged for waits of a second or more.",
+      "Nothing; see queue_head_overdue." },
+    { LogEvent::QueueHeadOverdue,
+      LogLevel::Warning,
+      "queue_head_overdue",
+      "task {task} is first of priority {priority} in {pool} and can no longer "
+      "meet its objective: {cause}",
+      "The first waiting task or gang of a priority has not started by the "
+      "latest time that meets the objective of its queue, and has been first "
+      "for "
+      "a second. Logged once for each of them.",
+      "If it repeats for one priority, the pool is too small for its work, or "
+      "other work keeps the resources from it; compare the runs of that "
+      "time." },
   };
 }
 
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -106,6 +106,8 @@
   CallAnswered = 612,
   CatalogReceived = 613,
   OperatorAnswered = 614,
+  QueueHeadWaited = 615,
+  QueueHeadOverdue = 616,
 };
 
 /** Definition of one event. */
--- a/dogwooddrum/service/Metrics.cpp
+++ b/dogwooddrum/service/Metrics.cpp
@@ -55,6 +55,8 @@
     { "workers_quarantined", "Workers put into quarantine" },
     { "join_requests_sent", "Requests to join the group sent to members" },
     { "join_requests_received", "Requests to join the group received" },
+    { "queue_heads_overdue",
+      "First units of a priority that could not start in time" },
   } };
 
 constexpr std::array<const char*,
@@ -95,6 +97,8 @@
     { "request_time_seconds", "Time of an HTTP request" },
     { "target_time_seconds", "Time of a call of the target" },
     { "sync_time_seconds", "Time of a log sync" },
+    { "queue_head_wait_seconds",
+      "Wait of the first unit of a priority, by pool, priority and cause" },
   } };
 
 using QuantileEstimator =
--- a/dogwooddrum/service/Metrics.h
+++ b/dogwooddrum/service/Metrics.h
@@ -36,6 +36,7 @@
   WorkersQuarantined,
   JoinRequestsSent,
   JoinRequestsReceived,
+  QueueHeadsOverdue,
   // Number of counters; must stay last.
   Count,
 };
@@ -85,6 +86,7 @@
   RequestTime,    ///< one HTTP request at an entry
   TargetTime,     ///< one call of a target
   SyncTime,       ///< one sync of the log; the profile is empty
+  QueueHeadWait,  ///< wait as first of a priority; pool/priority/cause
   // Number of distributions; must stay last.
   Count,
 };
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 Catalog
-MakeCatalog(std::uint64_t aGuaranteed)
+MakeCatalog(const WorkloadSimulationOptions& aOptions)
 {
   Catalog catalog;
   catalog.mVersion = protocol::CatalogVersion(1);
@@ -19,10 +19,12 @@
     queue.mPriority = priority;
     queue.mMaxAttempts = kMaxAttempts;
     queue.mTimeoutMs = 3000;
+    queue.mSlackPermille = aOptions.mSlackPermille;
+    queue.mTargetRunTimeMs = aOptions.mTargetRunTimeMs;
     catalog.mQueues.push_back(queue);
   }
   catalog.mAccounts.push_back(
-    { base::AccountId("tenant"), { "key" }, aGuaranteed });
+    { base::AccountId("tenant"), { "key" }, aOptions.mGuaranteed });
   return catalog;
 }
 
@@ -35,7 +37,7 @@
 {
   mNow = base::Time(base::Milliseconds(mNowMs));
   mState = std::make_unique<State>();
-  mState->Apply(Change{ AdoptCatalog{ MakeCatalog(aOptions.mGuaranteed) } });
+  mState->Apply(Change{ AdoptCatalog{ MakeCatalog(aOptions) } });
   for (std::size_t i = 0; i < aOptions.mWorkers; ++i) {
     mWorkers.push_back(std::make_unique<Worker>());
     RestartTarget(i);
@@ -371,6 +373,10 @@
         if (end->mEnd == RunEnd::Done) {
           mCommittedDone.insert(end->mRun.mTask);
         }
+        const auto& id = end->mRun.mTask.mWorkload.Value();
+        if (Phase(id) == protocol::WorkloadPhase::Complete) {
+          mCompletedAt.try_emplace(id, mNowMs);
+        }
       }
       mScheduler->OnApplied(change, mNow);
     }
@@ -515,6 +521,13 @@
   return it == mFirstStartedAt.end() ? -1 : it->second - mSubmittedAt.at(aId);
 }
 
+std::int64_t
+WorkloadSimulation::CompleteMs(const std::string& aId) const
+{
+  const auto it = mCompletedAt.find(aId);
+  return it == mCompletedAt.end() ? -1 : it->second - mSubmittedAt.at(aId);
+}
+
 std::set<std::size_t>
 WorkloadSimulation::WorkersOf(const std::string& aId) const
 {
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -51,6 +51,10 @@
   protocol::Resources mCapacity{ 64000, 131072, 8 };
   std::size_t mWorkersPerRack = 2;
   std::uint64_t mGuaranteed = 16; ///< of the account "tenant"
+  /** Objective of all queues: the slack factor times the estimate, and a fixed
+   * time. */
+  std::uint32_t mSlackPermille = 1000;
+  std::uint64_t mTargetRunTimeMs = 0;
   WorkloadFaults mFaults;
   coordination::workloads::Policies mPolicies;
 };
@@ -112,6 +116,9 @@
   int StartCount(const std::string& aId) const;
   /** Returns the time from submission to the first start in ms, or -1. */
   std::int64_t FirstStartMs(const std::string& aId) const;
+  /** Returns the time from submission until Phase was first seen to be complete
+   * in ms, or -1. */
+  std::int64_t CompleteMs(const std::string& aId) const;
   /** Returns the workers on which tasks of the workload were started. */
   std::set<std::size_t> WorkersOf(const std::string& aId) const;
   const std::vector<std::string>& Violations() const { return mViolations; }
@@ -167,6 +174,7 @@
   std::map<std::string, std::int64_t> mRunTimes;
   std::map<std::string, std::int64_t> mSubmittedAt;
   std::map<std::string, std::int64_t> mFirstStartedAt;
+  std::map<std::string, std::int64_t> mCompletedAt;
   std::map<std::string, int> mStarts;
   std::map<std::string, std::set<std::size_t>> mStartedOn;
   std::set<std::string> mFailing;
