Reserve workers for the first unit of a queue, and divide pools into shares

Callers saw: gangs of the middle queue were not started until the end of traffic, while small tasks of the least urgent queue kept starting.

Cause: priority ordered what was free in one moment only. A wide gang that did not fit was skipped, and each worker that came free went to small tasks in the same decision. Strict priority had the mirror of this: a more urgent stream kept everything from the least urgent queue. Nothing bounded the wait of a queue.

Change: the first waiting unit of a level below its share has the workers held that drain first; others use them only for tasks that end before. What urgent work leaves of a pool is divided three to one for each step of priority, by dominant share. Stops for a reservation lose no more than its idle resources and leave other levels their shares.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -1,10 +1,12 @@
 #include "dogwooddrum/coordination/workloads/LeaderContext.h"
 #include "dogwooddrum/coordination/workloads/Objectives.h"
+#include "dogwooddrum/coordination/workloads/Reservations.h"
 #include "dogwooddrum/coordination/workloads/Units.h"
 #include "dogwooddrum/coordination/workloads/WorkerViews.h"
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace dogwooddrum::coordination::workloads {
 
@@ -186,6 +188,294 @@
   }
 }
 
+/** Returns whether the unit is placed before all others that are not urgent,
+ * and may use the headroom. */
+bool
+IsPrivileged(const PlacementUnit& aUnit)
+{
+  return aUnit.mPriority == 0 || aUnit.mStep->mLongRunning;
+}
+
+/** Returns the resources of all tasks of the unit. */
+ResourceVector
+TotalResources(const PlacementUnit& aUnit)
+{
+  ResourceVector sum;
+  for (std::size_t i = 0; i < aUnit.mTasks.size(); ++i) {
+    sum = sum + ResourcesOf(*aUnit.mStep);
+  }
+  return sum;
+}
+
+/** Places the waiting units once. Urgent and long-running units come first, in
+ * order. The others are divided into levels: levels within their share of the
+ * pool come before the others, the more urgent first, and the first waiting
+ * unit of a level below its share has workers held for it. */
+class Decision
+{
+public:
+  explicit Decision(LeaderContext& aLeader)
+    : mLeader(aLeader)
+    , mGuarantees(FindGuarantees(aLeader))
+    , mViews(MakeWorkerViews(aLeader, mGuarantees))
+    , mUnits(CollectUnits(aLeader, mViews, mGuarantees))
+  {
+  }
+
+  void Run()
+  {
+    const auto shared = PlacePrivileged();
+    for (auto it = shared; it != mUnits.end(); ++it) {
+      mLevels[{ it->mPool, it->mPriority }].mUnits.push_back(&*it);
+    }
+    ComputeShares();
+    CountHeadroomInShares();
+    PlaceReservedUnits();
+    mHeadroom = ReservePoolHeadrooms(mLeader, mViews);
+    for (LevelUnits* level = NextLevel(); level != nullptr;
+         level = NextLevel()) {
+      PlaceNextUnit(*level);
+    }
+  }
+
+private:
+  struct LevelUnits
+  {
+    std::vector<PlacementUnit*> mUnits; ///< in the order of their due times
+    std::size_t mNext = 0;
+    const WorkloadStep* mFullStep = nullptr; ///< no further task of it fits
+  };
+
+  /** Places units up to the first that is not privileged, and returns it. */
+  std::vector<PlacementUnit>::iterator PlacePrivileged()
+  {
+    const WorkloadStep* fullStep = nullptr;
+    auto it = mUnits.begin();
+    for (; it != mUnits.end() && IsPrivileged(*it); ++it) {
+      if (it->mStep == fullStep || TryPlace(*it)) {
+        continue;
+      }
+      const bool isPreempting =
+        it->mPriority == 0 && PreemptFor(mLeader, *it, mViews);
+      fullStep = isPreempting ? nullptr : it->mStep;
+      if (!isPreempting) {
+        RecordHeadWait(mLeader, *it, mViews, mHeadroom);
+      }
+    }
+    return it;
+  }
+
+  bool TryPlace(PlacementUnit& aUnit)
+  {
+    mPlaced.ApplyTo(aUnit);
+    const auto assignment =
+      PlaceInFreeResources(aUnit, mViews, mLeader.mOptions.mPlacement);
+    if (!assignment) {
+      return false;
+    }
+    ProposeStarts(mLeader, aUnit, *assignment, mViews);
+    mPlaced.Record(aUnit, *assignment, mViews);
+    const auto shares = mShares.find(aUnit.mPool);
+    if (shares != mShares.end() && !IsPrivileged(aUnit)) {
+      shares->second.Add(aUnit.mPriority, TotalResources(aUnit));
+    }
+    return true;
+  }
+
+  void ComputeShares()
+  {
+    std::map<protocol::PoolName, ResourceVector> capacities;
+    for (const WorkerView& view : mViews) {
+      if (view.mUsable) {
+        auto& capacity = capacities[view.mPool];
+        capacity = capacity + view.mCapacity;
+      }
+    }
+    for (const auto& [pool, capacity] : capacities) {
+      mShares.emplace(pool, PoolShares(capacity));
+    }
+    for (const auto& [level, units] : mLevels) {
+      const auto shares = mShares.find(level.mPool);
+      if (shares != mShares.end()) {
+        shares->second.Add(level.mPriority, ResourceVector());
+      }
+    }
+    for (const auto& [run, open] : mLeader.mRuns) {
+      const auto worker = mLeader.mWorkers.find(open.mTarget);
+      const auto* workload = mLeader.mState->Find(run.mTask.mWorkload);
+      if (open.mStopping || open.mEnding || workload == nullptr ||
+          worker == mLeader.mWorkers.end()) {
+        continue;
+      }
+      const auto shares = mShares.find(worker->second.mTargetInfo.mPool);
+      if (shares == mShares.end()) {
+        continue;
+      }
+      if (open.mPriority == 0 || StepOf(*workload, run.mTask).mLongRunning) {
+        shares->second.AddPrivileged(open.mResources);
+      } else {
+        shares->second.Add(open.mPriority, open.mResources);
+      }
+    }
+  }
+
+  /** Without this, a level that is alone in a full pool would be below its
+   * share, and its reservations would use up the headroom. */
+  void CountHeadroomInShares()
+  {
+    const auto headroom = ReservePoolHeadrooms(mLeader, mViews);
+    for (std::size_t i = 0; i < headroom.size(); ++i) {
+      mViews[i].mFree = mViews[i].mFree + headroom[i];
+      const auto shares = mShares.find(mViews[i].mPool);
+      if (shares != mShares.end()) {
+        shares->second.AddPrivileged(headroom[i]);
+      }
+    }
+  }
+
+  /** Returns whether the next unit of the level keeps it within its share. */
+  bool IsWithinShare(const QueueLevel& aLevel, const LevelUnits& aUnits) const
+  {
+    const auto shares = mShares.find(aLevel.mPool);
+    return !mLeader.mOptions.mPolicies.mFairShares ||
+           (shares != mShares.end() &&
+            shares->second.IsWithinShare(
+              aLevel.mPriority, TotalResources(*aUnits.mUnits[aUnits.mNext])));
+  }
+
+  bool IsBelowShare(const QueueLevel& aLevel) const
+  {
+    const auto shares = mShares.find(aLevel.mPool);
+    return !mLeader.mOptions.mPolicies.mFairShares ||
+           (shares != mShares.end() &&
+            shares->second.IsBelowShare(aLevel.mPriority));
+  }
+
+  /** Starts the units for which workers are reserved, or holds the workers
+   * again. They may use the headroom, which would otherwise be taken from the
+   * workers that have drained for them. */
+  void PlaceReservedUnits()
+  {
+    const auto reserved = std::exchange(mLeader.mReservations, {});
+    for (const auto& [level, task] : reserved) {
+      const auto units = mLevels.find(level);
+      if (units == mLevels.end() || !IsBelowShare(level)) {
+        continue;
+      }
+      auto& waiting = units->second.mUnits;
+      const auto it =
+        std::find_if(waiting.begin(),
+                     waiting.end(),
+                     [&wanted = task](const PlacementUnit* aUnit) {
+                       return aUnit->mTasks.front() == wanted;
+                     });
+      if (it != waiting.end() && (TryPlace(**it) || ReserveFor(level, **it))) {
+        waiting.erase(it);
+      }
+    }
+  }
+
+  /** Frees or holds workers for the unit, which was not placed. Returns whether
+   * it has a reservation now. */
+  bool ReserveFor(const QueueLevel& aLevel, PlacementUnit& aUnit)
+  {
+    const auto& placement = mLeader.mOptions.mPlacement;
+    const auto reservation = PlanReservation(aUnit, mViews, placement);
+    if (!reservation) {
+      return false;
+    }
+    // Stops runs if this loses less than what would idle until they end. While
+    // half of the pool is idle, other work must not wait for held workers.
+    const bool mayHold = !IsHalfIdle(aLevel.mPool, mViews);
+    auto views = mViews;
+    const auto plan = PlanPreemption(aUnit,
+                                     aUnit.mPriority,
+                                     mayHold ? reservation->mIdleLoss
+                                             : AllowedLoss(mLeader, aUnit),
+                                     views,
+                                     placement);
+    const bool isStopping = plan && MayStop(aLevel.mPool, plan->mStops);
+    if (!isStopping && !mayHold) {
+      return false;
+    }
+    RecordHeadWait(mLeader, aUnit, mViews, mHeadroom);
+    mLeader.mReservations.emplace(aLevel, aUnit.mTasks.front());
+    if (!isStopping) {
+      HoldReservation(aUnit, *reservation, mViews);
+      return true;
+    }
+    mViews = std::move(views);
+    for (const RunId& run : plan->mStops) {
+      StopRun(mLeader, run, "preempted");
+    }
+    return true;
+  }
+
+  /** Returns whether the levels of the runs keep their shares without them. */
+  bool MayStop(const protocol::PoolName& aPool,
+               const std::vector<RunId>& aRuns) const
+  {
+    std::map<std::uint32_t, ResourceVector> stopped;
+    for (const RunId& run : aRuns) {
+      const OpenRun& open = mLeader.mRuns.at(run);
+      auto& sum = stopped[open.mPriority];
+      sum = sum + open.mResources;
+    }
+    return !mLeader.mOptions.mPolicies.mFairShares ||
+           std::all_of(stopped.begin(), stopped.end(), [&](const auto& aEach) {
+             return mShares.at(aPool).IsAboveShareWithout(aEach.first,
+                                                          aEach.second);
+           });
+  }
+
+  /** Returns the level whose next unit is to be placed, or null. */
+  LevelUnits* NextLevel()
+  {
+    LevelUnits* best = nullptr;
+    bool isBestWithinShare = false;
+    std::uint32_t bestPriority = 0;
+    for (auto& [level, units] : mLevels) {
+      if (units.mNext == units.mUnits.size()) {
+        continue;
+      }
+      const bool isWithinShare = IsWithinShare(level, units);
+      if (best == nullptr ||
+          std::make_pair(!isWithinShare, level.mPriority) <
+            std::make_pair(!isBestWithinShare, bestPriority)) {
+        best = &units;
+        isBestWithinShare = isWithinShare;
+        bestPriority = level.mPriority;
+      }
+    }
+    return best;
+  }
+
+  void PlaceNextUnit(LevelUnits& aLevel)
+  {
+    PlacementUnit& unit = *aLevel.mUnits[aLevel.mNext++];
+    if (unit.mStep == aLevel.mFullStep || TryPlace(unit)) {
+      return;
+    }
+    aLevel.mFullStep = unit.mStep;
+    const QueueLevel level{ unit.mPool, unit.mPriority };
+    const bool mayReserve = mLeader.mOptions.mPolicies.mReservations &&
+                            mLeader.mReservations.count(level) == 0 &&
+                            IsBelowShare(level);
+    if (!mayReserve || !ReserveFor(level, unit)) {
+      RecordHeadWait(mLeader, unit, mViews, mHeadroom);
+    }
+  }
+
+  LeaderContext& mLeader;
+  const Guarantees mGuarantees;
+  std::vector<WorkerView> mViews;
+  std::vector<PlacementUnit> mUnits;
+  std::map<QueueLevel, LevelUnits> mLevels;
+  std::map<protocol::PoolName, PoolShares> mShares;
+  std::vector<ResourceVector> mHeadroom; ///< see ReservePoolHeadrooms
+  StepPlacements mPlaced;
+};
+
 } // namespace
 
 void
@@ -213,36 +503,8 @@
   BeginOccurrences(aLeader);
   StopRunsOnLeavingTargets(aLeader);
   StopStalledRuns(aLeader);
-  const auto guarantees = FindGuarantees(aLeader);
-  auto views = MakeWorkerViews(aLeader, guarantees);
-  auto units = CollectUnits(aLeader, views, guarantees);
-  const WorkloadStep* fullStep = nullptr; // no further task of it fits
-  bool isHeadroomReserved = false;
-  std::vector<ResourceVector> headroom;
-  StepPlacements placed;
   aLeader.mQueueHeads.Begin(aLeader.mNow);
-  for (PlacementUnit& unit : units) {
-    if (unit.mStep == fullStep) {
-      continue;
-    }
-    const bool urgent = unit.mPriority == 0;
-    if (!urgent && !unit.mStep->mLongRunning && !isHeadroomReserved) {
-      isHeadroomReserved = true;
-      headroom = ReservePoolHeadrooms(aLeader, views);
-    }
-    placed.ApplyTo(unit);
-    if (const auto assignment =
-          PlaceInFreeResources(unit, views, aLeader.mOptions.mPlacement)) {
-      ProposeStarts(aLeader, unit, *assignment, views);
-      placed.Record(unit, *assignment, views);
-      continue;
-    }
-    const bool isPreempting = urgent && PreemptFor(aLeader, unit, views);
-    fullStep = isPreempting ? nullptr : unit.mStep;
-    if (!isPreempting) {
-      RecordHeadWait(aLeader, unit, views, headroom);
-    }
-  }
+  Decision(aLeader).Run();
   for (WorkloadEvent& event : aLeader.mQueueHeads.Finish()) {
     aLeader.mOutput.mWorkloadEvents.push_back(std::move(event));
   }
--- a/dogwooddrum/coordination/workloads/Headroom.cpp
+++ b/dogwooddrum/coordination/workloads/Headroom.cpp
@@ -34,11 +34,11 @@
          aRemaining.mAccelerators <= 0;
 }
 
-/** Returns the usable workers of the pool, those of the rack with the most free
- * cores first. */
+/** Returns the usable workers of the pool: those that are held for a waiting
+ * unit first, then those of the rack with the most free cores. */
 std::vector<WorkerView*>
-SortByEmptiestRack(const protocol::PoolName& aPool,
-                   std::vector<WorkerView>& aWorkers)
+SortForHeadroom(const protocol::PoolName& aPool,
+                std::vector<WorkerView>& aWorkers)
 {
   std::vector<WorkerView*> order;
   std::map<base::RackId, std::int64_t> freeOnRack;
@@ -49,7 +49,8 @@
     }
   }
   const auto key = [&freeOnRack](const WorkerView* aWorker) {
-    return std::make_tuple(-freeOnRack.at(aWorker->mRack),
+    return std::make_tuple(!aWorker->mIsHeld,
+                           -freeOnRack.at(aWorker->mRack),
                            aWorker->mRack,
                            -aWorker->mFree.mAccelerators,
                            -aWorker->mFree.mMilliCores);
@@ -107,15 +108,13 @@
                 std::vector<WorkerView>& aWorkers,
                 const HeadroomOptions& aOptions)
 {
-  const auto order = SortByEmptiestRack(aPool, aWorkers);
+  const auto order = SortForHeadroom(aPool, aWorkers);
+  if (IsHalfIdle(aPool, aWorkers)) {
+    return;
+  }
   ResourceVector capacity;
-  ResourceVector free;
   for (const WorkerView* worker : order) {
     capacity = capacity + worker->mCapacity;
-    free = free + worker->mFree;
-  }
-  if (CoreEquivalents(free) > CoreEquivalents(capacity) / 2) {
-    return;
   }
   ResourceVector remaining =
     ElementwiseMin(aHeadroom, Scale(capacity, aOptions.mMaxShare));
--- a/dogwooddrum/coordination/workloads/Headroom.h
+++ b/dogwooddrum/coordination/workloads/Headroom.h
@@ -39,8 +39,9 @@
 };
 
 /** Subtracts aHeadroom, limited to mMaxShare of the pool, from the free
- * resources of aWorkers. Takes whole workers, those of the emptiest racks
- * first, since gangs fit there. Reserves nothing while less than half of the
+ * resources of aWorkers. Takes whole workers: first those that are held for a
+ * waiting unit, which urgent work may use as well, then those of the emptiest
+ * racks, since gangs fit there. Reserves nothing while less than half of the
  * pool is in use. */
 void
 ReserveHeadroom(const protocol::PoolName& aPool,
--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -110,6 +110,8 @@
   std::map<TaskId, base::Time> mReadySince;
   RunTimeEstimator mRunTimeEstimator;
   QueueHeads mQueueHeads;
+  /** First task of the unit of each level for which workers are reserved. */
+  std::map<QueueLevel, TaskId> mReservations;
   std::map<protocol::PoolName, UrgentDemand> mUrgentDemand;
   std::map<TaskId, std::set<TargetIncarnation>> mFailedOn;
   std::map<WorkloadId, std::vector<PendingRequest>> mPendingSubmits;
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -10,14 +10,6 @@
 /** Lower is better; compared lexicographically. */
 using Score = std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t>;
 
-bool
-IsEligible(const PlacementUnit& aUnit, const WorkerView& aWorker)
-{
-  return aWorker.mUsable && aWorker.mPool == aUnit.mPool &&
-         (aUnit.mStep->mRequiredLabel.empty() ||
-          aWorker.mLabels.count(aUnit.mStep->mRequiredLabel) > 0);
-}
-
 bool
 IsBelowStepLimit(const PlacementUnit& aUnit,
                  const std::vector<std::uint32_t>& aStepTasks,
@@ -27,6 +19,16 @@
   return limit == 0 || aStepTasks[aWorker] < limit;
 }
 
+/** Returns the free resources that the unit may use: what is held for another
+ * one only for tasks that are expected to end before that starts. */
+ResourceVector
+FreeFor(const PlacementUnit& aUnit, const WorkerView& aWorker)
+{
+  const bool mayBackfill =
+    !aWorker.mIsHeld || aUnit.mExpectedRunTime <= aWorker.mHeldFor;
+  return mayBackfill ? aWorker.mFree : aWorker.mFree - aWorker.mHeld;
+}
+
 /** Scores a worker by best fit: the fewest remaining accelerators are best, so
  * that whole workers stay free for large tasks. */
 Score
@@ -61,7 +63,7 @@
     Score bestScore;
     for (std::size_t i = 0; i < aWorkers.size(); ++i) {
       if (!IsEligible(aUnit, aWorkers[i]) || !aIsAllowed(aWorkers[i]) ||
-          !Fits(need, aWorkers[i].mFree) ||
+          !Fits(need, FreeFor(aUnit, aWorkers[i])) ||
           !IsBelowStepLimit(aUnit, stepTasks, i)) {
         continue;
       }
@@ -106,20 +108,6 @@
   return PrefersSingleRack(aUnit) || !aUnit.mStep->mDataRack.Value().empty();
 }
 
-/** Returns the racks that satisfy the unit's locality preference: the one with
- * its data, or each single rack for a gang that prefers one rack. */
-std::vector<base::RackId>
-PreferredRacks(const PlacementUnit& aUnit,
-               const std::vector<WorkerView>& aWorkers)
-{
-  const base::RackId& data = aUnit.mStep->mDataRack;
-  if (!data.Value().empty()) {
-    return { data };
-  }
-  const auto racks = RacksOf(aWorkers);
-  return { racks.begin(), racks.end() };
-}
-
 /** Places all tasks on one of the preferred racks, on workers that are not
  * suspect. */
 std::optional<Assignment>
@@ -165,35 +153,6 @@
          PlaceTasks(aUnit, scratch, anywhere);
 }
 
-/** Returns whether the unit waits for workers on a preferred rack rather than
- * start elsewhere (delay scheduling): running elsewhere would take longer by
- * more than the unit has waited, no limit of aOptions is reached, and the unit
- * would fit on a preferred rack if that were idle. */
-bool
-WaitsForLocality(const PlacementUnit& aUnit,
-                 const std::vector<WorkerView>& aWorkers,
-                 const PlacementOptions& aOptions)
-{
-  if (!aOptions.mLocalityWait || !HasLocalityPreference(aUnit)) {
-    return false;
-  }
-  const std::int64_t extraMs =
-    (aOptions.mRemotePenalty - 1) *
-    static_cast<std::int64_t>(aUnit.mStep->mEstimateMs);
-  const std::int64_t mostMs = aUnit.mGuaranteed
-                                ? aOptions.mGuaranteedLocalityWaitMs
-                                : aOptions.mMaxLocalityWaitMs;
-  if (aUnit.mWaitedMs >= std::min(extraMs, mostMs)) {
-    return false;
-  }
-  if (aUnit.mWaitedMs >= aOptions.mIdleLocalityWaitMs &&
-      IsPoolIdleFor(aUnit, aWorkers)) {
-    return false;
-  }
-  auto emptied = WithoutLoad(aWorkers);
-  return PlaceOnPreferredRack(aUnit, emptied).has_value();
-}
-
 struct Stops
 {
   std::vector<const Victim*> mVictims;
@@ -340,6 +299,51 @@
 
 } // namespace
 
+bool
+IsEligible(const PlacementUnit& aUnit, const WorkerView& aWorker)
+{
+  return aWorker.mUsable && aWorker.mPool == aUnit.mPool &&
+         (aUnit.mStep->mRequiredLabel.empty() ||
+          aWorker.mLabels.count(aUnit.mStep->mRequiredLabel) > 0);
+}
+
+std::vector<base::RackId>
+PreferredRacks(const PlacementUnit& aUnit,
+               const std::vector<WorkerView>& aWorkers)
+{
+  const base::RackId& data = aUnit.mStep->mDataRack;
+  if (!data.Value().empty()) {
+    return { data };
+  }
+  const auto racks = RacksOf(aWorkers);
+  return { racks.begin(), racks.end() };
+}
+
+bool
+WaitsForLocality(const PlacementUnit& aUnit,
+                 const std::vector<WorkerView>& aWorkers,
+                 const PlacementOptions& aOptions)
+{
+  if (!aOptions.mLocalityWait || !HasLocalityPreference(aUnit)) {
+    return false;
+  }
+  const std::int64_t extraMs =
+    (aOptions.mRemotePenalty - 1) *
+    static_cast<std::int64_t>(aUnit.mStep->mEstimateMs);
+  const std::int64_t mostMs = aUnit.mGuaranteed
+                                ? aOptions.mGuaranteedLocalityWaitMs
+                                : aOptions.mMaxLocalityWaitMs;
+  if (aUnit.mWaitedMs >= std::min(extraMs, mostMs)) {
+    return false;
+  }
+  if (aUnit.mWaitedMs >= aOptions.mIdleLocalityWaitMs &&
+      IsPoolIdleFor(aUnit, aWorkers)) {
+    return false;
+  }
+  auto emptied = WithoutLoad(aWorkers);
+  return PlaceOnPreferredRack(aUnit, emptied).has_value();
+}
+
 ResourceVector
 ResourcesOf(const WorkloadStep& aStep)
 {
@@ -470,6 +474,21 @@
   return least;
 }
 
+bool
+IsHalfIdle(const protocol::PoolName& aPool,
+           const std::vector<WorkerView>& aWorkers)
+{
+  ResourceVector capacity;
+  ResourceVector free;
+  for (const WorkerView& worker : aWorkers) {
+    if (worker.mUsable && !worker.mSuspect && worker.mPool == aPool) {
+      capacity = capacity + worker.mCapacity;
+      free = free + worker.mFree;
+    }
+  }
+  return CoreEquivalents(free) > CoreEquivalents(capacity) / 2;
+}
+
 bool
 FitsOnAnyRack(const PlacementUnit& aUnit, std::vector<WorkerView> aWorkers)
 {
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "dogwooddrum/base/Time.h"
 #include "dogwooddrum/coordination/workloads/State.h"
 
 #include <cstdint>
@@ -53,6 +54,17 @@
   double mCost = 0; ///< mLoss, weighted by priority
 };
 
+/** Ratio of the weights of one priority and of the next less urgent one; users
+ * value work of priority 1 three times as high as work of priority 2. */
+constexpr double kPriorityWeight = 3;
+
+/** Resources that a run is expected to free. */
+struct ExpectedRelease
+{
+  base::Duration mIn{}; ///< maximum: its end is not known
+  ResourceVector mResources;
+};
+
 /** State of one worker as placement needs it. */
 struct WorkerView
 {
@@ -67,6 +79,10 @@
   bool mUsable = true;
   bool mSuspect = false; ///< its newest runs failed or stalled
   std::vector<Victim> mVictims;
+  std::vector<ExpectedRelease> mReleases; ///< of all runs, the earliest first
+  bool mIsHeld = false;      ///< part of it is reserved for a waiting unit
+  ResourceVector mHeld;      ///< reserved; free or still in use
+  base::Duration mHeldFor{}; ///< until the unit is expected to start
 };
 
 /** Tasks that are placed together: one task, or all members of a gang. */
@@ -80,6 +96,7 @@
   bool mMayReclaim = false;  ///< all urgent work of its account is guaranteed
   std::int64_t mDueAtMs = 0; ///< Unix time; the earliest is placed first
   std::int64_t mWaitedMs = 0;
+  base::Duration mExpectedRunTime = base::Duration::max(); ///< of each task
   /** Targets on which a task of the unit failed before. */
   std::set<TargetIncarnation> mAvoid;
   /** Racks on which tasks of the same step run already. */
@@ -108,6 +125,23 @@
   std::int64_t mMaxLocalityWaitMs = 20000;
 };
 
+/** Returns whether the worker may run tasks of the unit at all. */
+bool
+IsEligible(const PlacementUnit& aUnit, const WorkerView& aWorker);
+/** Returns the racks that satisfy the unit's locality preference: the one with
+ * its data, or each single rack for a gang that prefers one rack. */
+std::vector<base::RackId>
+PreferredRacks(const PlacementUnit& aUnit,
+               const std::vector<WorkerView>& aWorkers);
+/** Returns whether the unit waits for workers on a preferred rack rather than
+ * start elsewhere (delay scheduling): running elsewhere would take longer by
+ * more than the unit has waited, no limit of aOptions is reached, and the unit
+ * would fit on a preferred rack if that were idle. */
+bool
+WaitsForLocality(const PlacementUnit& aUnit,
+                 const std::vector<WorkerView>& aWorkers,
+                 const PlacementOptions& aOptions);
+
 /** Index of a worker for each task of the unit. */
 using Assignment = std::vector<std::size_t>;
 
@@ -149,6 +183,13 @@
 LowestUtilization(const protocol::PoolName& aPool,
                   const std::vector<WorkerView>& aWorkers);
 
+/** Returns whether more than half of the pool's usable resources are free, in
+ * core equivalents. The platform counts work that waits meanwhile as starved,
+ * so that nothing is kept free for other work then. */
+bool
+IsHalfIdle(const protocol::PoolName& aPool,
+           const std::vector<WorkerView>& aWorkers);
+
 /** Returns whether the unit fits into the free resources, on any racks. */
 bool
 FitsOnAnyRack(const PlacementUnit& aUnit, std::vector<WorkerView> aWorkers);
--- a/dogwooddrum/coordination/workloads/Policies.h
+++ b/dogwooddrum/coordination/workloads/Policies.h
@@ -30,6 +30,11 @@
   bool mLongRunningFirst = true;
   /** Places guaranteed work before other urgent work. */
   bool mGuaranteedFirst = true;
+  /** Holds workers for the first waiting unit of a priority. */
+  bool mReservations = true;
+  /** Divides a pool between priorities that are not urgent; otherwise the more
+   * urgent ones may use all of it. */
+  bool mFairShares = true;
   /** Lets a new leader end the runs of targets that their VMs have replaced. */
   bool mTargetBindings = true;
 };
--- a/dogwooddrum/coordination/workloads/Units.cpp
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -66,6 +66,12 @@
     base.mMayReclaim =
       base.mGuaranteed && mGuarantees.mExceeded.count(aWorkload.mAccount) == 0;
     base.mDueAtMs = DueAtMs(aWorkload, aQueue, aOccurrence);
+    if (!spec.mLongRunning && spec.mEstimateMs > 0) {
+      base.mExpectedRunTime = mLeader.mRunTimeEstimator.ExpectedRunTime(
+        TaskId{ aId, aOccurrence.mNumber, aStep, 0 },
+        aWorkload.mQueueName,
+        spec.mEstimateMs);
+    }
     std::vector<TaskId> waiting;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
       const TaskId task{ aId, aOccurrence.mNumber, aStep, i };
--- a/dogwooddrum/coordination/workloads/WorkerViews.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -10,10 +10,6 @@
 /** A worker gets no new work if its newest list is older: several lists are
  * missing, and a gang with a member there would be delayed. */
 constexpr base::Duration kMaxListAgeForStarts = base::Milliseconds(1500);
-/** Factor between the costs of a lost core-second of one priority and of the
- * next less urgent one; users value work of priority 1 three times as high as
- * work of priority 2. */
-constexpr double kPriorityWeight = 3;
 
 /** Returns the core-seconds of work that a stop of the run loses. */
 double
@@ -57,6 +53,13 @@
   return it == aLeader.mRuns.end() || it->second.mTarget != aTargetIncarnation;
 }
 
+/** Returns the longest time in which a stopped run frees its resources. */
+base::Duration
+StopDelay(const LeaderContext& aLeader)
+{
+  return aLeader.mOptions.mStopTime + kOrderRoundTrip;
+}
+
 /** Returns whether a run will end before the resources of another run could be
  * freed by stopping that. */
 bool
@@ -65,8 +68,7 @@
   // Uses listed progress only: an estimate may be wrong by any factor.
   return aLeader.mOptions.mPolicies.mAwaitSoonEnds &&
          aOpen.mProgress.mPercentPerSecond > 0 &&
-         ExpectedTimeLeft(aLeader, aRun, aOpen) <=
-           aLeader.mOptions.mStopTime + kOrderRoundTrip;
+         ExpectedTimeLeft(aLeader, aRun, aOpen) <= StopDelay(aLeader);
 }
 
 /** Returns whether a run may be stopped for other work: urgent work only beyond
@@ -134,6 +136,7 @@
           ResourcesOf(StepOf(*workload, run.mTask));
         view.mFree = view.mFree - resources;
         view.mReleasing = view.mReleasing + resources;
+        view.mReleases.push_back({ StopDelay(aLeader), resources });
       }
     }
   }
@@ -144,7 +147,11 @@
     }
     WorkerView& view = views[it->second];
     view.mFree = view.mFree - open.mResources;
-    if (open.mStopping || open.mEnding || EndsSoon(aLeader, run, open)) {
+    const bool isStopping = open.mStopping || open.mEnding;
+    view.mReleases.push_back(
+      { isStopping ? StopDelay(aLeader) : ExpectedTimeLeft(aLeader, run, open),
+        open.mResources });
+    if (isStopping || EndsSoon(aLeader, run, open)) {
       view.mReleasing = view.mReleasing + open.mResources;
     } else if (open.mCommitted && IsStoppable(run, open, aGuarantees)) {
       Victim victim;
@@ -166,6 +173,13 @@
       view.mVictims.push_back(std::move(victim));
     }
   }
+  for (WorkerView& view : views) {
+    std::sort(view.mReleases.begin(),
+              view.mReleases.end(),
+              [](const ExpectedRelease& aLeft, const ExpectedRelease& aRight) {
+                return aLeft.mIn < aRight.mIn;
+              });
+  }
   return views;
 }
 
--- a/dogwooddrum/service/SettingsKeys.cpp
+++ b/dogwooddrum/service/SettingsKeys.cpp
@@ -541,6 +541,14 @@
     policy("guaranteed_first",
            kPolicyField<&Policies::mGuaranteedFirst>,
            "Whether work within a guarantee comes before other urgent work."),
+    policy("reservations",
+           kPolicyField<&Policies::mReservations>,
+           "Whether workers are held for the first waiting task or gang of a "
+           "priority, so that smaller tasks do not take them one by one."),
+    policy("fair_shares",
+           kPolicyField<&Policies::mFairShares>,
+           "Whether priorities that are not urgent share a pool; otherwise the "
+           "more urgent ones may use all of it."),
     policy("target_bindings",
            kPolicyField<&Policies::mTargetBindings>,
            "Whether a new leader ends the runs of targets that their VMs have "
--- a/tests/correctness/WorkloadPolicies.cpp
+++ b/tests/correctness/WorkloadPolicies.cpp
@@ -28,6 +28,8 @@
   { "long_running_first", &Policies::mLongRunningFirst },
   { "guaranteed_first", &Policies::mGuaranteedFirst },
   { "target_bindings", &Policies::mTargetBindings },
+  { "reservations", &Policies::mReservations },
+  { "fair_shares", &Policies::mFairShares },
 };
 
 /** Returns the result of aScenario with all policies but one. */
@@ -291,5 +293,53 @@
   EXPECT_FALSE(Without(&Policies::mGuaranteedFirst, GuaranteedStartsFirst));
 }
 
+/** Returns the starts of a gang that needs both workers, beside small tasks
+ * whose ends are spread over time. */
+int
+StartsOfAWideGang(WorkloadSimulationOptions aOptions)
+{
+  aOptions.mWorkers = 2;
+  WorkloadSimulation sim(aOptions);
+  sim.RunFor(500);
+  for (int i = 0; i < 60; ++i) {
+    const auto id = "small" + std::to_string(i);
+    sim.SetRunTime(id, 2000 + 130 * (i % 16));
+    sim.Submit(id, "p2", OneStepSpec(1, 1000, 1, false));
+  }
+  sim.Submit("gang", "p1", OneStepSpec(2, 1000, 8, true));
+  sim.RunFor(6000);
+  return sim.StartCount("gang");
+}
+
+TEST(WorkloadPolicies, Reservations)
+{
+  EXPECT_EQ(StartsOfAWideGang({}), 2);
+  EXPECT_EQ(Without(&Policies::mReservations, StartsOfAWideGang), 0);
+}
+
+/** Returns the starts of small tasks beside more urgent ones that fill the
+ * pool.
+ */
+int
+StartsBesideMoreUrgentTasks(const WorkloadSimulationOptions& aOptions)
+{
+  WorkloadSimulation sim(aOptions);
+  sim.RunFor(500);
+  sim.SetRunTime("urgent", 1000);
+  sim.SetRunTime("least", 1000);
+  sim.Submit("urgent", "p1", OneStepSpec(400, 1000, 1, false));
+  sim.Submit("least", "p2", OneStepSpec(100, 1000, 1, false));
+  sim.RunFor(5000);
+  return sim.StartCount("least");
+}
+
+// The pool of 32 accelerators has room for 128 to 160 tasks in this time, of
+// which a quarter is the share of the least urgent queue.
+TEST(WorkloadPolicies, FairShares)
+{
+  EXPECT_GE(StartsBesideMoreUrgentTasks({}), 32);
+  EXPECT_LT(Without(&Policies::mFairShares, StartsBesideMoreUrgentTasks), 32);
+}
+
 } // namespace
 } // namespace dogwooddrum::tests
