--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -117,6 +117,32 @@
   mFailing.insert(aId);
 }
 
+void
+WorkloadSimulation::MakeStartsCrash(const std::string& aId)
+{
+  mCrashing.insert(aId);
+}
+
+void
+WorkloadSimulation::CrashTarget(std::size_t aWorker,
+                                std::int64_t aDownMs,
+                                bool aKeepsInstance)
+{
+  constexpr std::int64_t kSilentMs = 10;
+  RestartTargetSlowly(aWorker, aDownMs, kSilentMs);
+  if (!aKeepsInstance) {
+    mWorkers[aWorker]->mTarget->mTargetInfo.mTargetIncarnation.mInstance +=
+      "-" + std::to_string(mNowMs);
+  }
+}
+
+int
+WorkloadSimulation::CrashCount(const std::string& aId) const
+{
+  const auto it = mCrashes.find(aId);
+  return it == mCrashes.end() ? 0 : it->second;
+}
+
 void
 WorkloadSimulation::MakeWorkerFail(std::size_t aWorker)
 {
@@ -276,6 +302,30 @@
                 });
 }
 
+void
+WorkloadSimulation::Shrink(std::size_t aWorker,
+                           double aShare,
+                           std::int64_t aForMs)
+{
+  Target& target = *mWorkers[aWorker]->mTarget;
+  const auto scale = [aShare](std::uint64_t aAmount) {
+    return static_cast<std::uint64_t>(static_cast<double>(aAmount) * aShare);
+  };
+  target.mTargetInfo.mCapacity = { scale(mOptions.mCapacity.mMilliCores),
+                                   scale(mOptions.mCapacity.mMemoryMb),
+                                   scale(mOptions.mCapacity.mAccelerators) };
+  target.mShrunkAt = mNowMs;
+  ScheduleAfter(
+    aForMs,
+    [this, aWorker, incarnation = target.mTargetInfo.mTargetIncarnation] {
+      Target& present = *mWorkers[aWorker]->mTarget;
+      if (present.mTargetInfo.mTargetIncarnation == incarnation) {
+        present.mTargetInfo.mCapacity = mOptions.mCapacity;
+        present.mShrunkAt.reset();
+      }
+    });
+}
+
 void
 WorkloadSimulation::ReclaimVm(std::size_t aWorker, std::int64_t aStaysMs)
 {
@@ -447,6 +497,10 @@
   if (HappensWith(faults.mPlannedEnd)) {
     BeginPlannedEnd(aWorker);
   }
+  if (HappensWith(faults.mCapacityChange) &&
+      !mWorkers[aWorker]->mTarget->mShrunkAt) {
+    Shrink(aWorker, HappensWith(0.5) ? 0.5 : 0.25, Between(1000, 15000));
+  }
   if (HappensWith(faults.mAgentPause)) {
     PauseAgent(aWorker, Between(500, 8000));
   }
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -35,6 +35,7 @@
   double mSlowTargetRestart = 0; ///< see RestartTargetSlowly
   double mPlannedEnd = 0;        ///< see BeginPlannedEnd
   double mAgentPause = 0;        ///< its process is stopped for up to 8 s
+  double mCapacityChange = 0;    ///< it is less for up to 8 s, see Shrink
   /** Probabilities for each message. */
   double mLateAnnouncements = 0; ///< a copy arrives up to 5 s later
   double mLateReports = 0;       ///< arrives up to 3 s later
@@ -55,6 +56,8 @@
    * time. */
   std::uint32_t mSlackPermille = 1000;
   std::uint64_t mTargetRunTimeMs = 0;
+  /** Whether a crashed target returns under its id. */
+  bool mCrashesKeepInstance = false;
   WorkloadFaults mFaults;
   coordination::workloads::Policies mPolicies;
 };
@@ -76,6 +79,17 @@
   void SetRunTime(const std::string& aId, std::int64_t aMs);
   /** Makes the runs of a workload fail. */
   void MakeRunsFail(const std::string& aId);
+  /** Makes each target crash that starts a task of the workload. See
+   * CrashTarget. */
+  void MakeStartsCrash(const std::string& aId);
+  /** Ends the target without an announcement; after aDownMs it is back without
+   * runs, as another instance or under its id. Its agent stays up. */
+  void CrashTarget(std::size_t aWorker,
+                   std::int64_t aDownMs,
+                   bool aKeepsInstance);
+  /** Returns the number of targets that crashed when a task of the workload
+   * started. */
+  int CrashCount(const std::string& aId) const;
   /** Makes all runs on a worker fail. */
   void MakeWorkerFail(std::size_t aWorker);
   void DisconnectAgent(std::size_t aWorker, std::int64_t aForMs);
@@ -88,6 +102,9 @@
   /** Restarts a VM after a power loss: its agent has no memory, and its target
    * has another id and no run. */
   void RestartVm(std::size_t aWorker);
+  /** Reduces the target's capacity to a share of it for some time; it announces
+   * each change with its next announcement. */
+  void Shrink(std::size_t aWorker, double aShare, std::int64_t aForMs);
   /** Begins a planned end: the target announces it, sends a DELETE, of which a
    * copy may come late, ends at once or some seconds later, and starts again
    * under its id. */
@@ -131,6 +148,11 @@
 
   void Advance();
   void InjectFaults(std::size_t aWorker);
+  /** Checks that the target has the resources for a start in addition to its
+   * runs. A reduced capacity counts from when the leader has to know it. */
+  void CheckCapacity(std::size_t aWorker,
+                     const protocol::TaskId& aTask,
+                     const std::string& aName);
   void AnnounceTarget(std::size_t aWorker);
   void RunDeposedLeader();
   /** Runs aWork now, or when the agent's pause is over. */
@@ -178,6 +200,8 @@
   std::map<std::string, int> mStarts;
   std::map<std::string, std::set<std::size_t>> mStartedOn;
   std::set<std::string> mFailing;
+  std::set<std::string> mCrashing;
+  std::map<std::string, int> mCrashes;
   std::map<protocol::TaskId, int> mAcknowledgedFailures;
   std::set<protocol::TaskId> mCommittedDone;
   std::map<protocol::TaskId, std::int64_t> mLastStartAt;
--- a/tests/support/WorkloadSimulationState.h
+++ b/tests/support/WorkloadSimulationState.h
@@ -35,6 +35,7 @@
     RunEnd mEnd = RunEnd::Done;
   };
   protocol::TargetInfo mTargetInfo;
+  std::optional<std::int64_t> mShrunkAt; ///< its capacity is reduced since
   std::int64_t mClockZero = 0; ///< simulation time at which its clock is 0
   std::map<TaskId, Running> mRuns;
   std::map<TaskId, RunNumber> mClosed; ///< highest run stopped or ended
--- a/tests/support/WorkloadSimulationTargets.cpp
+++ b/tests/support/WorkloadSimulationTargets.cpp
@@ -41,17 +41,32 @@
       }
     }
   }
-  ResourceVector used = ResourcesOf(StepOf(task));
-  for (const auto& [other, running] : mWorkers[aWorker]->mTarget->mRuns) {
+  CheckCapacity(aWorker, task, name);
+}
+
+void
+WorkloadSimulation::CheckCapacity(std::size_t aWorker,
+                                  const TaskId& aTask,
+                                  const std::string& aName)
+{
+  // The platform counts a reduced capacity 3 s and an announcement later, and
+  // not for orders that the target executes late.
+  constexpr std::int64_t kGraceMs = 3000 + kAnnounceMs;
+  const Target& target = *mWorkers[aWorker]->mTarget;
+  ResourceVector used = ResourcesOf(StepOf(aTask));
+  for (const auto& [other, running] : target.mRuns) {
     used = used + ResourcesOf(StepOf(other));
   }
-  const ResourceVector capacity{
-    static_cast<std::int64_t>(mOptions.mCapacity.mMilliCores),
-    static_cast<std::int64_t>(mOptions.mCapacity.mMemoryMb),
-    static_cast<std::int64_t>(mOptions.mCapacity.mAccelerators)
-  };
+  const bool isReduced =
+    target.mShrunkAt && mNowMs - *target.mShrunkAt > kGraceMs && !mIsLateOrder;
+  const auto& room =
+    isReduced ? target.mTargetInfo.mCapacity : mOptions.mCapacity;
+  const ResourceVector capacity{ static_cast<std::int64_t>(room.mMilliCores),
+                                 static_cast<std::int64_t>(room.mMemoryMb),
+                                 static_cast<std::int64_t>(
+                                   room.mAccelerators) };
   if (!Fits(used, capacity)) {
-    AddViolation("resource limit: " + name + " does not fit on worker " +
+    AddViolation("resource limit: " + aName + " does not fit on worker " +
                  std::to_string(aWorker));
   }
 }
@@ -93,6 +108,13 @@
   ++mStarts[id];
   mFirstStartedAt.emplace(id, mNowMs);
   mStartedOn[id].insert(aWorker);
+  if (mCrashing.count(id) > 0) {
+    ++mCrashes[id];
+    ScheduleAfter(kStepMs, [this, aWorker] {
+      constexpr std::int64_t kDownMs = 3000;
+      CrashTarget(aWorker, kDownMs, mOptions.mCrashesKeepInstance);
+    });
+  }
   return OrderOutcome::Done;
 }
 
