Give a task up after three targets have crashed under it

Cause: only listed failures use up attempts. The loss of a target counts as nobody's fault, so that no counter bounded the starts of a task that ends its target. Only the agent can tell a crash from a lost VM or a planned end.

Change: agents report the runs during which their target crashed, and the replicated state counts a crash once for each task and incarnation. After one crash a task runs beside no other such task, after two alone on a worker that is held for it, after three it is given up. So the cause is found without giving up other work that ran beside it.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -257,14 +257,33 @@
       }
       const bool isPreempting =
         it->mPriority == 0 && PreemptFor(mLeader, *it, mViews);
-      fullStep = isPreempting ? nullptr : it->mStep;
+      const bool isStepFull = !isPreempting && it->mCrashes.empty();
+      fullStep = isStepFull ? it->mStep : nullptr;
       if (!isPreempting) {
         RecordHeadWait(mLeader, *it, mViews, mHeadroom);
+        HoldForIsolation(*it);
       }
     }
     return it;
   }
 
+  /** Holds workers for an urgent unit with tasks that run alone. It stops no
+   * runs for them, so that without this it could wait forever. */
+  void HoldForIsolation(const PlacementUnit& aUnit)
+  {
+    const bool runsAlone = std::any_of(
+      aUnit.mCrashes.begin(), aUnit.mCrashes.end(), [](std::size_t aCrashes) {
+        return aCrashes >= kCrashesBeforeIsolation;
+      });
+    if (!runsAlone) {
+      return;
+    }
+    if (const auto reservation =
+          PlanReservation(aUnit, mViews, mLeader.mOptions.mPlacement)) {
+      HoldReservation(aUnit, *reservation, mViews);
+    }
+  }
+
   bool TryPlace(PlacementUnit& aUnit)
   {
     mPlaced.ApplyTo(aUnit);
@@ -456,7 +475,9 @@
     if (unit.mStep == aLevel.mFullStep || TryPlace(unit)) {
       return;
     }
-    aLevel.mFullStep = unit.mStep;
+    if (unit.mCrashes.empty()) {
+      aLevel.mFullStep = unit.mStep;
+    }
     const QueueLevel level{ unit.mPool, unit.mPriority };
     const bool mayReserve = mLeader.mOptions.mPolicies.mReservations &&
                             mLeader.mReservations.count(level) == 0 &&
--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -114,6 +114,7 @@
   std::map<QueueLevel, TaskId> mReservations;
   std::map<protocol::PoolName, UrgentDemand> mUrgentDemand;
   std::map<TaskId, std::set<TargetIncarnation>> mFailedOn;
+  std::set<TargetIncarnation> mCountedCrashes; ///< proposed by this leader
   std::map<WorkloadId, std::vector<PendingRequest>> mPendingSubmits;
   std::map<WorkloadId, std::vector<PendingRequest>> mPendingCancels;
   std::set<WorkloadId> mOccurrenceProposed;
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -48,6 +48,41 @@
            remaining.mMilliCores };
 }
 
+/** What TakeResources changes in a view. */
+struct UsedResources
+{
+  ResourceVector mFree;
+  std::size_t mRunCount = 0;
+  std::size_t mCrashSuspects = 0;
+};
+
+UsedResources
+UsedResourcesOf(const WorkerView& aWorker)
+{
+  return { aWorker.mFree, aWorker.mRunCount, aWorker.mCrashSuspects };
+}
+
+void
+Restore(const UsedResources& aUsed, WorkerView& aWorker)
+{
+  aWorker.mFree = aUsed.mFree;
+  aWorker.mRunCount = aUsed.mRunCount;
+  aWorker.mCrashSuspects = aUsed.mCrashSuspects;
+}
+
+/** Subtracts the resources of a task from the worker, all that are free if the
+ * task runs alone. */
+void
+TakeResources(WorkerView& aWorker,
+              const ResourceVector& aNeed,
+              std::size_t aCrashes)
+{
+  aWorker.mFree = aCrashes >= kCrashesBeforeIsolation ? ResourceVector()
+                                                      : aWorker.mFree - aNeed;
+  ++aWorker.mRunCount;
+  aWorker.mCrashSuspects += aCrashes > 0 ? 1 : 0;
+}
+
 /** Places each task of the unit on the best worker that aIsAllowed accepts. */
 template<typename Predicate>
 std::optional<Assignment>
@@ -58,12 +93,14 @@
   const ResourceVector need = ResourcesOf(*aUnit.mStep);
   auto stepTasks = aUnit.mStepTasks;
   Assignment assignment;
+  std::vector<UsedResources> previous;
   for (std::size_t task = 0; task < aUnit.mTasks.size(); ++task) {
     std::optional<std::size_t> best;
     Score bestScore;
     for (std::size_t i = 0; i < aWorkers.size(); ++i) {
       if (!IsEligible(aUnit, aWorkers[i]) || !aIsAllowed(aWorkers[i]) ||
           !Fits(need, FreeFor(aUnit, aWorkers[i])) ||
+          !MayShareWorker(CrashesOf(aUnit, task), aWorkers[i]) ||
           !IsBelowStepLimit(aUnit, stepTasks, i)) {
         continue;
       }
@@ -74,12 +111,13 @@
       }
     }
     if (!best) {
-      for (const std::size_t taken : assignment) {
-        aWorkers[taken].mFree = aWorkers[taken].mFree + need;
+      for (; !assignment.empty(); assignment.pop_back(), previous.pop_back()) {
+        Restore(previous.back(), aWorkers[assignment.back()]);
       }
       return std::nullopt;
     }
-    aWorkers[*best].mFree = aWorkers[*best].mFree - need;
+    previous.push_back(UsedResourcesOf(aWorkers[*best]));
+    TakeResources(aWorkers[*best], need, CrashesOf(aUnit, task));
     ++stepTasks[*best];
     assignment.push_back(*best);
   }
@@ -269,7 +307,8 @@
     std::optional<std::size_t> best;
     Stops bestStops;
     for (std::size_t i = 0; i < scratch.size(); ++i) {
-      if (!IsBelowStepLimit(aUnit, stepTasks, indices[i])) {
+      if (!IsBelowStepLimit(aUnit, stepTasks, indices[i]) ||
+          !MayShareWorker(CrashesOf(aUnit, task), scratch[i])) {
         continue;
       }
       auto found = CheapestStops(scratch[i], need, aBelow, aReclaims);
@@ -289,7 +328,7 @@
     }
     ReleaseResources(scratch, newStops);
     stops.insert(newStops.begin(), newStops.end());
-    scratch[*best].mFree = scratch[*best].mFree - need;
+    TakeResources(scratch[*best], need, CrashesOf(aUnit, task));
     ++stepTasks[indices[*best]];
     result.mPlan.mWorkers.push_back(indices[*best]);
   }
@@ -299,6 +338,21 @@
 
 } // namespace
 
+std::size_t
+CrashesOf(const PlacementUnit& aUnit, std::size_t aTask)
+{
+  return aUnit.mCrashes.empty() ? 0 : aUnit.mCrashes[aTask];
+}
+
+bool
+MayShareWorker(std::size_t aCrashes, const WorkerView& aWorker)
+{
+  if (aCrashes >= kCrashesBeforeIsolation) {
+    return aWorker.mRunCount == 0;
+  }
+  return aCrashes == 0 || aWorker.mCrashSuspects == 0;
+}
+
 bool
 IsEligible(const PlacementUnit& aUnit, const WorkerView& aWorker)
 {
@@ -443,8 +497,9 @@
   const auto& stops = best->mPlan.mStops;
   ReleaseResources(aWorkers, { stops.begin(), stops.end() });
   const ResourceVector need = ResourcesOf(*aUnit.mStep);
-  for (const std::size_t worker : best->mPlan.mWorkers) {
-    aWorkers[worker].mFree = aWorkers[worker].mFree - need;
+  for (std::size_t task = 0; task < best->mPlan.mWorkers.size(); ++task) {
+    TakeResources(
+      aWorkers[best->mPlan.mWorkers[task]], need, CrashesOf(aUnit, task));
   }
   return std::move(best->mPlan);
 }
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -77,7 +77,10 @@
   ResourceVector
     mReleasing; ///< used by runs that are being stopped or end soon
   bool mUsable = true;
-  bool mSuspect = false; ///< its newest runs failed or stalled
+  bool mSuspect = false;     ///< its newest runs failed or stalled
+  std::size_t mRunCount = 0; ///< open or unexpected runs
+  /** Runs of tasks during which a target has crashed before. */
+  std::size_t mCrashSuspects = 0;
   std::vector<Victim> mVictims;
   std::vector<ExpectedRelease> mReleases; ///< of all runs, the earliest first
   bool mIsHeld = false;      ///< part of it is reserved for a waiting unit
@@ -97,6 +100,8 @@
   std::int64_t mDueAtMs = 0; ///< Unix time; the earliest is placed first
   std::int64_t mWaitedMs = 0;
   base::Duration mExpectedRunTime = base::Duration::max(); ///< of each task
+  /** For each task, the crashes of targets during its runs; empty: none. */
+  std::vector<std::size_t> mCrashes;
   /** Targets on which a task of the unit failed before. */
   std::set<TargetIncarnation> mAvoid;
   /** Racks on which tasks of the same step run already. */
@@ -125,6 +130,19 @@
   std::int64_t mMaxLocalityWaitMs = 20000;
 };
 
+/** A task that has seen this many crashes is run alone, so that it takes no
+ * other work down if it is their cause, and is cleared if it is not. */
+constexpr std::size_t kCrashesBeforeIsolation = 2;
+
+/** Returns the number of crashes of targets during runs of a task of aUnit. */
+std::size_t
+CrashesOf(const PlacementUnit& aUnit, std::size_t aTask);
+/** Returns whether the worker may run a task with that many crashes beside its
+ * present runs: one at which a target crashed runs beside no other such task,
+ * so that the next crash tells them apart. */
+bool
+MayShareWorker(std::size_t aCrashes, const WorkerView& aWorker);
+
 /** Returns whether the worker may run tasks of the unit at all. */
 bool
 IsEligible(const PlacementUnit& aUnit, const WorkerView& aWorker);
--- a/dogwooddrum/coordination/workloads/Requests.cpp
+++ b/dogwooddrum/coordination/workloads/Requests.cpp
@@ -103,6 +103,7 @@
       workload == nullptr ? WorkloadResult::Unknown : WorkloadResult::Found;
     reply.mPhase =
       workload == nullptr ? WorkloadPhase::Queued : workload->mPhase;
+    reply.mMessage = workload == nullptr ? std::string() : workload->mFailure;
     Reply(mLeader, mPending, std::move(reply));
   }
 
--- a/dogwooddrum/coordination/workloads/Reservations.cpp
+++ b/dogwooddrum/coordination/workloads/Reservations.cpp
@@ -28,6 +28,20 @@
   return std::nullopt;
 }
 
+/** Returns the time until the worker has no run; none if that is not known. */
+std::optional<base::Duration>
+TimeUntilIdle(const WorkerView& aWorker)
+{
+  if (aWorker.mRunCount == 0) {
+    return base::Duration::zero();
+  }
+  if (aWorker.mReleases.empty() ||
+      aWorker.mReleases.back().mIn == base::Duration::max()) {
+    return std::nullopt;
+  }
+  return aWorker.mReleases.back().mIn;
+}
+
 double
 Seconds(base::Duration aTime)
 {
@@ -47,6 +61,8 @@
     ResourceVector mNeed; ///< of the unit's tasks here and one more
     std::uint32_t mStepTasks = 0;
     std::optional<base::Duration> mFreeIn;
+    std::size_t mTasks = 0; ///< of the unit, already planned here
+    bool mIsTaken = false;  ///< by a task that runs alone
   };
   std::vector<Candidate> candidates;
   for (std::size_t i = 0; i < aWorkers.size(); ++i) {
@@ -61,19 +77,31 @@
   Reservation reservation;
   std::size_t ready = 0;
   for (std::size_t task = 0; task < aUnit.mTasks.size(); ++task) {
+    const std::size_t crashes = CrashesOf(aUnit, task);
+    const bool runsAlone = crashes >= kCrashesBeforeIsolation;
     Candidate* best = nullptr;
+    std::optional<base::Duration> bestIn;
     for (Candidate& each : candidates) {
-      if (each.mFreeIn && (limit == 0 || each.mStepTasks < limit) &&
-          (best == nullptr || *each.mFreeIn < *best->mFreeIn)) {
+      const WorkerView& worker = aWorkers[each.mIndex];
+      if (each.mIsTaken || (runsAlone && each.mTasks > 0) ||
+          (limit != 0 && each.mStepTasks >= limit) ||
+          (!runsAlone && !MayShareWorker(crashes, worker))) {
+        continue;
+      }
+      const auto in = runsAlone ? TimeUntilIdle(worker) : each.mFreeIn;
+      if (in && (!bestIn || *in < *bestIn)) {
         best = &each;
+        bestIn = in;
       }
     }
     if (best == nullptr) {
       return std::nullopt;
     }
+    best->mIsTaken = runsAlone;
+    ++best->mTasks;
     reservation.mWorkers.push_back(best->mIndex);
-    reservation.mStartsIn = std::max(reservation.mStartsIn, *best->mFreeIn);
-    ready += *best->mFreeIn == base::Duration::zero() ? 1 : 0;
+    reservation.mStartsIn = std::max(reservation.mStartsIn, *bestIn);
+    ready += *bestIn == base::Duration::zero() ? 1 : 0;
     ++best->mStepTasks;
     best->mNeed = best->mNeed + need;
     best->mFreeIn = TimeUntilFree(aWorkers[best->mIndex], best->mNeed);
@@ -109,13 +137,14 @@
                 std::vector<WorkerView>& aWorkers)
 {
   const ResourceVector need = ResourcesOf(*aUnit.mStep);
-  for (const std::size_t i : aReservation.mWorkers) {
-    WorkerView& worker = aWorkers[i];
+  for (std::size_t task = 0; task < aReservation.mWorkers.size(); ++task) {
+    WorkerView& worker = aWorkers[aReservation.mWorkers[task]];
+    const bool runsAlone = CrashesOf(aUnit, task) >= kCrashesBeforeIsolation;
     worker.mHeldFor = worker.mIsHeld
                         ? std::min(worker.mHeldFor, aReservation.mStartsIn)
                         : aReservation.mStartsIn;
     worker.mIsHeld = true;
-    worker.mHeld = worker.mHeld + need;
+    worker.mHeld = worker.mHeld + (runsAlone ? worker.mCapacity : need);
   }
 }
 
--- a/dogwooddrum/coordination/workloads/State.cpp
+++ b/dogwooddrum/coordination/workloads/State.cpp
@@ -48,6 +48,12 @@
                      });
 }
 
+bool
+HasTooManyCrashes(const TaskRecord& aTask)
+{
+  return aTask.mCrashedTargets.size() >= kMaxCrashes;
+}
+
 /** Sets the phase of all members of a gang once none of them runs. */
 void
 ResolveGangRun(WorkloadRecord& aWorkload,
@@ -69,7 +75,9 @@
     task.mFailures += aStep.mRunFailed ? 1 : 0;
     const bool isOutOfAttempts =
       !aSpec.mLongRunning && task.mFailures >= aWorkload.mMaxAttempts;
-    task.mPhase = isOutOfAttempts ? TaskPhase::Failed : TaskPhase::Waiting;
+    task.mPhase = isOutOfAttempts || HasTooManyCrashes(task)
+                    ? TaskPhase::Failed
+                    : TaskPhase::Waiting;
   }
   aStep.mRunDone = false;
   aStep.mRunFailed = false;
@@ -81,6 +89,10 @@
                TaskRecord& aTask,
                RunEnd aEnd)
 {
+  if (HasTooManyCrashes(aTask) && aEnd != RunEnd::Done) {
+    aTask.mPhase = TaskPhase::Failed;
+    return;
+  }
   if (aSpec.mLongRunning) {
     aTask.mPhase = TaskPhase::Waiting;
     return;
@@ -94,6 +106,31 @@
                                                            : TaskPhase::Waiting;
 }
 
+/** Returns why the workload has failed, for its owner. */
+std::string
+DescribeFailure(const WorkloadRecord& aWorkload)
+{
+  for (const OccurrenceRecord& occurrence : aWorkload.mOccurrences) {
+    for (std::size_t s = 0; s < occurrence.mSteps.size(); ++s) {
+      const auto& tasks = occurrence.mSteps[s].mTasks;
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].mPhase != TaskPhase::Failed) {
+          continue;
+        }
+        const std::string task = "task " + std::to_string(occurrence.mNumber) +
+                                 "." + std::to_string(s) + "." +
+                                 std::to_string(i);
+        return HasTooManyCrashes(tasks[i])
+                 ? std::to_string(tasks[i].mCrashedTargets.size()) +
+                     " targets crashed during runs of " + task
+                 : task + " failed " + std::to_string(tasks[i].mFailures) +
+                     " times";
+      }
+    }
+  }
+  return {};
+}
+
 } // namespace
 
 struct State::Applier
@@ -138,6 +175,7 @@
       if (std::any_of(open.begin(), open.end(), [](const auto& aEach) {
             return HasTaskInPhase(aEach, TaskPhase::Failed);
           })) {
+        aWorkload.mFailure = DescribeFailure(aWorkload);
         EndWorkload(aWorkload, WorkloadPhase::Failed, aNowMs);
       } else {
         open.erase(
@@ -255,6 +293,30 @@
     ResolveWorkload(aChange.mRun.mTask.mWorkload, *workload, aChange.mNowMs);
   }
 
+  void operator()(const RecordCrash& aChange)
+  {
+    for (const RunId& run : aChange.mRuns) {
+      WorkloadRecord* workload = Workload(run.mTask.mWorkload);
+      StepRecord* step =
+        workload == nullptr ? nullptr : Step(*workload, run.mTask);
+      if (step == nullptr) {
+        continue;
+      }
+      TaskRecord& task = step->mTasks[run.mTask.mIndex];
+      auto& crashed = task.mCrashedTargets;
+      if (run.mRun > task.mRun ||
+          std::find(crashed.begin(), crashed.end(), aChange.mTarget) !=
+            crashed.end()) {
+        continue;
+      }
+      crashed.push_back(aChange.mTarget);
+      if (task.mPhase == TaskPhase::Waiting && HasTooManyCrashes(task)) {
+        task.mPhase = TaskPhase::Failed;
+        ResolveWorkload(run.mTask.mWorkload, *workload, aChange.mNowMs);
+      }
+    }
+  }
+
   void operator()(const PurgeEnded& aChange)
   {
     auto& all = mState.mWorkloads;
--- a/dogwooddrum/coordination/workloads/State.h
+++ b/dogwooddrum/coordination/workloads/State.h
@@ -135,6 +135,20 @@
   }
 };
 
+/** Records that an incarnation of a target has crashed during runs of these
+ * tasks. Each task counts an incarnation once. */
+struct RecordCrash
+{
+  TargetIncarnation mTarget;
+  std::vector<RunId> mRuns;
+  std::int64_t mNowMs = 0; ///< Unix time
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTarget, mRuns, mNowMs);
+  }
+};
+
 using ChangeBody = std::variant<Accept,
                                 Cancel,
                                 BeginOccurrence,
@@ -142,7 +156,8 @@
                                 EndRun,
                                 PurgeEnded,
                                 AdoptCatalog,
-                                BindTarget>;
+                                BindTarget,
+                                RecordCrash>;
 
 /** One command of the replicated log. */
 struct Change
@@ -166,6 +181,10 @@
   Failed, ///< no attempt left
 };
 
+/** A task is given up after this many crashes of targets during its runs; the
+ * platform's contract allows three. */
+constexpr std::size_t kMaxCrashes = 3;
+
 struct TaskRecord
 {
   TaskPhase mPhase = TaskPhase::Waiting;
@@ -173,10 +192,12 @@
   TargetIncarnation mTarget; ///< of the newest run
   std::uint32_t mFailures = 0;
   std::string mCheckpoint;
+  /** Incarnations that crashed while the task ran there, or may have run. */
+  std::vector<TargetIncarnation> mCrashedTargets;
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mPhase, mRun, mTarget, mFailures, mCheckpoint);
+    aArchive(mPhase, mRun, mTarget, mFailures, mCheckpoint, mCrashedTargets);
   }
 };
 
@@ -216,6 +237,7 @@
   std::uint32_t mMaxAttempts = 1; ///< of its queue, when accepted
   std::uint32_t mNextOccurrence = 0;
   std::vector<OccurrenceRecord> mOccurrences; ///< begun and not complete
+  std::string mFailure; ///< why it failed, for its owner; empty: it has not
   template<class Archive>
   void serialize(Archive& aArchive)
   {
@@ -228,7 +250,8 @@
              mEndedMs,
              mMaxAttempts,
              mNextOccurrence,
-             mOccurrences);
+             mOccurrences,
+             mFailure);
   }
 };
 
--- a/dogwooddrum/coordination/workloads/Units.cpp
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -85,16 +85,32 @@
     CountStepTasks(aId, aOccurrence.mNumber, aStep, base);
     if (spec.mGang) {
       base.mTasks = std::move(waiting);
+      AddCrashes(tasks, base);
       Add(std::move(base));
       return;
     }
     for (const TaskId& task : waiting) {
       PlacementUnit unit = base;
       unit.mTasks = { task };
+      AddCrashes(tasks, unit);
       Add(std::move(unit));
     }
   }
 
+  static void AddCrashes(const std::vector<TaskRecord>& aRecords,
+                         PlacementUnit& aUnit)
+  {
+    std::vector<std::size_t> crashes;
+    for (const TaskId& task : aUnit.mTasks) {
+      crashes.push_back(aRecords[task.mIndex].mCrashedTargets.size());
+    }
+    if (std::any_of(crashes.begin(), crashes.end(), [](std::size_t aCount) {
+          return aCount > 0;
+        })) {
+      aUnit.mCrashes = std::move(crashes);
+    }
+  }
+
   /** Counts the step's open runs by worker and collects their racks. */
   void CountStepTasks(const WorkloadId& aId,
                       std::uint32_t aOccurrence,
--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -105,7 +105,8 @@
     mTarget->mLeaving = mTarget->mLeaving || wasLeaving;
     return changed;
   }
-  ResetTarget();
+  // Without an announcement before, the last incarnation has crashed.
+  ResetTarget(mTarget && !mTarget->mLeaving && !mLeaveMessageAt);
   mTarget = aTargetInfo;
   mAnnounceSequence = aSequence;
   mAnnouncedAt = aNow;
@@ -134,17 +135,38 @@
       ++mRefusals < kRefusalsThatShowAnEnd) {
     return false;
   }
-  ResetTarget();
+  ResetTarget(false);
   return true;
 }
 
+std::vector<protocol::RunId>
+WorkerAgent::RunsThatMayRun() const
+{
+  std::set<protocol::RunId> runs;
+  for (const auto& running : mRunning) {
+    runs.insert(running.mRun);
+  }
+  for (const auto& [run, start] : mStarts) {
+    if (start.mMayRun) {
+      runs.insert(run);
+    }
+  }
+  for (const auto& ended : mEnded) {
+    runs.erase(ended.mRun);
+  }
+  return { runs.begin(), runs.end() };
+}
+
 void
-WorkerAgent::ResetTarget()
+WorkerAgent::ResetTarget(bool aHasCrashed)
 {
   if (mTarget) {
+    auto crashedRuns =
+      aHasCrashed ? RunsThatMayRun() : std::vector<protocol::RunId>();
     // The last ends may not have been reported to the leader yet.
-    mEndedIncarnations.push_back(
-      { mTarget->mTargetIncarnation, std::move(mEnded) });
+    mEndedIncarnations.push_back({ mTarget->mTargetIncarnation,
+                                   std::move(mEnded),
+                                   std::move(crashedRuns) });
     if (mEndedIncarnations.size() > kMaxEndedIncarnations) {
       mEndedIncarnations.erase(mEndedIncarnations.begin());
     }
@@ -302,6 +324,7 @@
     call.mIsStart = true;
     call.mStart = start.mOrder;
     call.mLeaseUntilMs = ToTargetClock(mLeaseUntil);
+    start.mMayRun = true;
     mInFlight.insert(run);
     return call;
   }
@@ -360,10 +383,14 @@
       break;
     case OrderOutcome::Rejected:
       start->second.mRejected = true;
+      start->second.mMayRun = false;
       start->second.mReason = aMessage;
       mStops.emplace(run, StopState());
       break;
     case OrderOutcome::Retryable:
+      start->second.mMayRun = false;
+      start->second.mNextTry = aNow + mOptions.mOrderRetryDelay;
+      break;
     case OrderOutcome::Unknown:
       start->second.mNextTry = aNow + mOptions.mOrderRetryDelay;
       break;
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -130,6 +130,7 @@
   {
     protocol::StartOrder mOrder;
     bool mAccepted = false; ///< the target answered that it started the run
+    bool mMayRun = false;   ///< sent, and the target may have executed it
     bool mRejected = false; ///< not sent any more; a stop follows
     std::string mReason;
     base::Time mNextTry;
@@ -142,7 +143,8 @@
   };
 
   std::int64_t ToTargetClock(base::Time aTime) const;
-  void ResetTarget();
+  void ResetTarget(bool aHasCrashed);
+  std::vector<protocol::RunId> RunsThatMayRun() const;
   bool UpdateNeverRan(base::Time aCalledAt);
 
   const WorkerAgentOptions mOptions;
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -300,6 +300,30 @@
   }
 }
 
+/** Counts a crash of a target against the tasks that ran there. Agents repeat
+ * their reports; each leader proposes a crash once. */
+void
+CountCrash(LeaderContext& aLeader,
+           const protocol::EndedIncarnation& aPast,
+           const protocol::WorkerReport& aReport)
+{
+  if (aPast.mCrashedRuns.empty() ||
+      !aLeader.mCountedCrashes.insert(aPast.mTargetIncarnation).second) {
+    return;
+  }
+  AddEvent(
+    aLeader,
+    WorkloadEvent::Kind::TargetCrashed,
+    { { "target", aPast.mTargetIncarnation.mInstance },
+      { "target_start_ms", std::to_string(aPast.mTargetIncarnation.mStartMs) },
+      { "agent", aReport.mAgentName },
+      { "runs", std::to_string(aPast.mCrashedRuns.size()) },
+      { "first", ToString(aPast.mCrashedRuns.front().mTask) } });
+  Propose(aLeader,
+          RecordCrash{
+            aPast.mTargetIncarnation, aPast.mCrashedRuns, UnixMs(aLeader) });
+}
+
 /** Proposes the ends that a target listed before it left. Otherwise these runs
  * would count as lost with the target, and their tasks would run again. */
 void
@@ -445,6 +469,7 @@
 {
   for (const protocol::EndedIncarnation& past : aReport.mEndedIncarnations) {
     ProcessEndsOfIncarnation(aLeader, past, aReport);
+    CountCrash(aLeader, past, aReport);
     RemoveEndedWorker(aLeader,
                       past.mTargetIncarnation,
                       aReport.mTarget ? &aReport.mTarget->mTargetIncarnation
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -160,22 +160,28 @@
       }
       mLeader.mRuns.erase(it);
     }
-    const WorkloadRecord* workload = mLeader.mState->Find(id);
-    if (workload != nullptr && HasEnded(*workload)) {
-      if (mLeader.mState->Active().count(id) == 0) {
-        mLeader.mRunTimeEstimator.RemoveWorkload(id);
-        AddEvent(
-          mLeader,
-          WorkloadEvent::Kind::WorkloadEnded,
-          { { "workload", id.Value() },
-            { "phase", ToString(workload->mPhase) },
-            { "age_ms",
-              std::to_string(workload->mEndedMs - workload->mAcceptedMs) } });
-      }
-      StopRunsOfEndedWorkload(mLeader, id);
-    }
+    OnWorkloadChanged(id);
     mLeader.mDecisionDue = true;
   }
+  /** Logs the end of a workload, and stops its remaining runs. */
+  void OnWorkloadChanged(const WorkloadId& aId) const
+  {
+    const WorkloadRecord* workload = mLeader.mState->Find(aId);
+    if (workload == nullptr || !HasEnded(*workload)) {
+      return;
+    }
+    if (mLeader.mState->Active().count(aId) == 0) {
+      mLeader.mRunTimeEstimator.RemoveWorkload(aId);
+      AddEvent(mLeader,
+               WorkloadEvent::Kind::WorkloadEnded,
+               { { "workload", aId.Value() },
+                 { "phase", ToString(workload->mPhase) },
+                 { "age_ms",
+                   std::to_string(workload->mEndedMs - workload->mAcceptedMs) },
+                 { "reason", workload->mFailure } });
+    }
+    StopRunsOfEndedWorkload(mLeader, aId);
+  }
   void LearnRunTime(const EndRun& aChange, const OpenRun& aOpen) const
   {
     const TaskId& task = aChange.mRun.mTask;
@@ -192,6 +198,17 @@
   }
   void operator()(const PurgeEnded&) const {}
   void operator()(const BindTarget&) const {}
+  void operator()(const RecordCrash& aChange) const
+  {
+    std::set<WorkloadId> affected;
+    for (const RunId& run : aChange.mRuns) {
+      affected.insert(run.mTask.mWorkload);
+    }
+    for (const WorkloadId& id : affected) {
+      OnWorkloadChanged(id);
+    }
+    mLeader.mDecisionDue = true;
+  }
   void operator()(const AdoptCatalog& aChange) const
   {
     StoreCatalogForDeltas(mLeader);
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.h
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.h
@@ -69,6 +69,7 @@
     CatalogAdopted,
     QueueHeadWaited,
     QueueHeadOverdue,
+    TargetCrashed,
   };
   Kind mKind = Kind::Accepted;
   std::vector<std::pair<std::string_view, std::string>> mFields;
--- a/dogwooddrum/daemon/Notices.cpp
+++ b/dogwooddrum/daemon/Notices.cpp
@@ -101,7 +101,7 @@
     LogEvent mEvent;
     std::optional<Counter> mCounter;
   };
-  static constexpr std::array<EventMapping, 14> kEventMappings{ {
+  static constexpr std::array<EventMapping, 15> kEventMappings{ {
     { Kind::Accepted, LogEvent::WorkloadAccepted, Counter::RequestsAccepted },
     { Kind::Rejected, LogEvent::WorkloadRejected, std::nullopt },
     { Kind::Cancelled, LogEvent::WorkloadCancelled, Counter::JobsCancelled },
@@ -122,6 +122,7 @@
     { Kind::QueueHeadOverdue,
       LogEvent::QueueHeadOverdue,
       Counter::QueueHeadsOverdue },
+    { Kind::TargetCrashed, LogEvent::TargetCrashed, Counter::TargetCrashes },
   } };
   for (const auto& [profile, wait] : aEvent.mHeadWaits) {
     aMetrics.Observe(
--- a/dogwooddrum/protocol/WorkloadMessages.h
+++ b/dogwooddrum/protocol/WorkloadMessages.h
@@ -240,10 +240,13 @@
 {
   TargetIncarnation mTargetIncarnation;
   std::vector<EndedTask> mEnded;
+  /** Runs during which it crashed: all that it listed or may have started, if
+   * it ended without announcing so while its agent ran on; else empty. */
+  std::vector<RunId> mCrashedRuns;
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mTargetIncarnation, mEnded);
+    aArchive(mTargetIncarnation, mEnded, mCrashedRuns);
   }
 };
 
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -448,7 +448,7 @@
       LogLevel::Info,
       "workload_ended",
       "workload {workload} is {phase} after {age_ms} ms",
-      "All of its tasks have ended.",
+      "All of its tasks have ended. For failed, reason names the task.",
       "Nothing." },
     { LogEvent::WorkerJoined,
       LogLevel::Info,
@@ -523,6 +523,18 @@
       "If it repeats for one priority, the pool is too small for its work, or "
       "other work keeps the resources from it; compare the runs of that "
       "time." },
+    { LogEvent::TargetCrashed,
+      LogLevel::Warning,
+      "target_crashed",
+      "target {target} of {agent} crashed during {runs} runs, the first of "
+      "task {first}",
+      "The target ended without announcing so while its agent ran on. The "
+      "crash "
+      "counts against the tasks that ran there: after one, a task runs beside "
+      "no other such task, after two alone, and after three its workload has "
+      "failed.",
+      "Check the target; if one workload's tasks are always among the runs, "
+      "check that workload." },
   };
 }
 
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -108,6 +108,7 @@
   OperatorAnswered = 614,
   QueueHeadWaited = 615,
   QueueHeadOverdue = 616,
+  TargetCrashed = 617,
 };
 
 /** Definition of one event. */
--- a/dogwooddrum/service/Metrics.cpp
+++ b/dogwooddrum/service/Metrics.cpp
@@ -57,6 +57,7 @@
     { "join_requests_received", "Requests to join the group received" },
     { "queue_heads_overdue",
       "First units of a priority that could not start in time" },
+    { "target_crashes", "Targets that crashed with runs on them" },
   } };
 
 constexpr std::array<const char*,
--- a/dogwooddrum/service/Metrics.h
+++ b/dogwooddrum/service/Metrics.h
@@ -37,6 +37,7 @@
   JoinRequestsSent,
   JoinRequestsReceived,
   QueueHeadsOverdue,
+  TargetCrashes,
   // Number of counters; must stay last.
   Count,
 };
--- a/tests/correctness/RunEndProof.cpp
+++ b/tests/correctness/RunEndProof.cpp
@@ -133,7 +133,7 @@
   Leader leader;
   auto report = ReportOf(kFirst);
   report.mTarget.reset();
-  report.mEndedIncarnations.push_back({ kFirst, {} });
+  report.mEndedIncarnations.push_back({ kFirst, {}, {} });
   leader.Report(report, 100);
   EXPECT_EQ(leader.TakeEnd(100)["proof"], "target gone: left");
 }
