Start nothing beyond a capacity that has shrunk

Callers saw: nothing yet; own tests broke LIMIT.

Cause: the newest capacity counted for new decisions only. A start that had been decided before was repeated until the target listed it, also after an interruption.

Change: the agent withdraws starts that its target has not accepted when the announced capacity falls. The leader stops runs that are not listed yet on an overbooked worker, and decides before it sends orders when a report has another capacity.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -224,6 +224,7 @@
 
   void Run()
   {
+    StopRunsBeyondCapacity();
     const auto shared = PlacePrivileged();
     for (auto it = shared; it != mUnits.end(); ++it) {
       mLevels[{ it->mPool, it->mPriority }].mUnits.push_back(&*it);
@@ -246,6 +247,38 @@
     const WorkloadStep* mFullStep = nullptr; ///< no further task of it fits
   };
 
+  /** Stops runs that their targets have not listed yet on workers that are
+   * overbooked, since the target has less capacity than when they were decided
+   * on, or runs something else. Their starts may still be on their way. */
+  void StopRunsBeyondCapacity()
+  {
+    std::set<TargetIncarnation> overbooked;
+    for (const WorkerView& view : mViews) {
+      const ResourceVector& free = view.mFree;
+      if (std::min({ free.mMilliCores, free.mMemoryMb, free.mAccelerators }) <
+          0) {
+        overbooked.insert(view.mTargetIncarnation);
+      }
+    }
+    if (overbooked.empty()) {
+      return;
+    }
+    std::vector<RunId> beyond;
+    for (const auto& [run, open] : mLeader.mRuns) {
+      const auto worker = mLeader.mWorkers.find(open.mTarget);
+      if (overbooked.count(open.mTarget) > 0 && open.mCommitted &&
+          !open.mEnding && worker != mLeader.mWorkers.end() &&
+          worker->second.mReportedRuns.count(run) == 0) {
+        beyond.push_back(run);
+      }
+    }
+    for (const RunId& run : beyond) {
+      for (const RunId& member : GangOf(mLeader, run)) {
+        StopRun(mLeader, member, "beyond_capacity");
+      }
+    }
+  }
+
   /** Places units up to the first that is not privileged, and returns it. */
   std::vector<PlacementUnit>::iterator PlacePrivileged()
   {
--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -21,10 +21,16 @@
 {
   return aLeft.mTargetIncarnation == aRight.mTargetIncarnation &&
          aLeft.mLeaving == aRight.mLeaving && aLeft.mPool == aRight.mPool &&
-         aLeft.mLabels == aRight.mLabels &&
-         aLeft.mCapacity.mMilliCores == aRight.mCapacity.mMilliCores &&
-         aLeft.mCapacity.mMemoryMb == aRight.mCapacity.mMemoryMb &&
-         aLeft.mCapacity.mAccelerators == aRight.mCapacity.mAccelerators;
+         aLeft.mLabels == aRight.mLabels && aLeft.mCapacity == aRight.mCapacity;
+}
+
+/** Returns whether aLeft has less than aRight of any kind of resource. */
+bool
+IsLess(const protocol::Resources& aLeft, const protocol::Resources& aRight)
+{
+  return aLeft.mMilliCores < aRight.mMilliCores ||
+         aLeft.mMemoryMb < aRight.mMemoryMb ||
+         aLeft.mAccelerators < aRight.mAccelerators;
 }
 
 /** Returns whether both lists name the same runs in the same order. */
@@ -99,6 +105,11 @@
       isLateLeaveMessage || !HasSameInfo(*mTarget, aTargetInfo);
     mAnnounceSequence = aSequence;
     mAnnouncedAt = aNow;
+    // The leader decided on these starts by an earlier capacity. It places the
+    // tasks again by the new one.
+    if (IsLess(aTargetInfo.mCapacity, mTarget->mCapacity)) {
+      RejectPendingStarts("the target's capacity is less than before");
+    }
     const bool wasLeaving = mTarget->mLeaving;
     mTarget = aTargetInfo;
     // A target that leaves does not return within the same incarnation.
@@ -117,6 +128,18 @@
   return true;
 }
 
+void
+WorkerAgent::RejectPendingStarts(const std::string& aReason)
+{
+  for (auto& [run, start] : mStarts) {
+    if (!start.mAccepted && !start.mRejected) {
+      start.mRejected = true;
+      start.mReason = aReason;
+      mStops.emplace(run, StopState());
+    }
+  }
+}
+
 void
 WorkerAgent::OnLeaveMessage(const std::string& aInstance, base::Time aNow)
 {
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -146,6 +146,7 @@
   void ResetTarget(bool aHasCrashed);
   std::vector<protocol::RunId> RunsThatMayRun() const;
   bool UpdateNeverRan(base::Time aCalledAt);
+  void RejectPendingStarts(const std::string& aReason);
 
   const WorkerAgentOptions mOptions;
   std::uint64_t mReportSequence = 0;
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -206,7 +206,8 @@
       aReport.mSequence <= worker.mReportSequence) {
     return nullptr;
   }
-  if (worker.mTargetInfo.mLeaving != aReport.mTarget->mLeaving) {
+  if (worker.mTargetInfo.mLeaving != aReport.mTarget->mLeaving ||
+      !(worker.mTargetInfo.mCapacity == aReport.mTarget->mCapacity)) {
     aLeader.mDecisionDue = true;
   }
   worker.mAgentIncarnation = aReport.mAgent;
--- a/dogwooddrum/protocol/Workload.h
+++ b/dogwooddrum/protocol/Workload.h
@@ -40,6 +40,12 @@
   {
     aArchive(mMilliCores, mMemoryMb, mAccelerators);
   }
+  friend bool operator==(const Resources& aLeft, const Resources& aRight)
+  {
+    return aLeft.mMilliCores == aRight.mMilliCores &&
+           aLeft.mMemoryMb == aRight.mMemoryMb &&
+           aLeft.mAccelerators == aRight.mAccelerators;
+  }
 };
 
 /** Tasks with equal resource needs that start independently or, as a gang,
