--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -202,7 +202,10 @@
   {
     std::set<WorkloadId> affected;
     for (const RunId& run : aChange.mRuns) {
-      affected.insert(run.mTask.mWorkload);
+      // The end of an open run, which follows, ends the workload.
+      if (mLeader.mRuns.count(run) == 0) {
+        affected.insert(run.mTask.mWorkload);
+      }
     }
     for (const WorkloadId& id : affected) {
       OnWorkloadChanged(id);
