--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,11 +1,10 @@
 # Functions of the scripts: a small deployment on loopback addresses, with the
 # commands and the settings templates of the deploy file. A script sets `here`
 # (its folder) and then sources this file.
-# shellcheck shell=bash
+# shellcheck shell=bash disable=SC2034,SC2154
 top=$(cd "$here/../.." && pwd)
 out=$top/review/out
 record=$here/record.txt
-trouble=${TROUBLE:-1}
 : >"$record"
 work=$(mktemp -d)
 base=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))
@@ -135,9 +134,8 @@
 # state ID: prints the answer to a GET of the job.
 state() { call GET "$base.11:8521" "/batch/$1" "$host" "$key"; }
 
-# running TASK: counts the runs of a task (a pattern) that have started and not
-# ended on targets that were not killed, by the record.
-wait_record() { # PATTERN SECONDS
+# wait_record PATTERN SECONDS: waits until the record holds the pattern.
+wait_record() {
   local i
   for ((i = 0; i < $2 * 10; i++)); do
     if grep -qE "$1" "$record"; then return 0; fi
--- a/review/standin/Minion.cpp
+++ b/review/standin/Minion.cpp
@@ -58,12 +58,15 @@
     .count();
 }
 
+/** Returns the target's own clock, which starts anew with each of its lives. */
 std::int64_t
 ClockMs()
 {
+  static const auto sStart = std::chrono::steady_clock::now();
   return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::steady_clock::now().time_since_epoch())
-    .count();
+           std::chrono::steady_clock::now() - sStart)
+           .count() +
+         1;
 }
 
 struct Run
@@ -236,6 +239,10 @@
   {
     ExtendLease(aBody);
     const auto cursor = aBody.value("ack_cursor", std::uint64_t(0));
+    if (cursor > mCursor) {
+      mCursor = cursor;
+      Record("has its ends acknowledged up to " + std::to_string(cursor));
+    }
     mEnded.erase(std::remove_if(mEnded.begin(),
                                 mEnded.end(),
                                 [cursor](const json& aRow) {
@@ -272,6 +279,7 @@
   std::map<std::string, std::uint32_t> mHighestEnded;
   std::vector<json> mEnded;
   std::uint64_t mLastEnd = 0;
+  std::uint64_t mCursor = 0;
 };
 
 /** Reads --name value pairs. Returns whether all are known. */
