Replace a target only by one that answers a call

Cause: the agent took an announcement with a later start time for a proof that the listed target had ended, and the leader ended its runs at once. Neither asked a target. Announcements with missing fields were decoded, too. Ruled out: the lease expiry (the proof in the log is "replaced by", 10 ms later).

Change: another target that announces itself is a candidate, which the agent probes. It replaces the present one once it answers at its address or under its id, or once it answers and the present one refuses connections. A silent target keeps its runs until its lease ends. The leader needs a list of the new target, orders reports by process and sequence, and takes a report from before its election for no proof against a target that an earlier leader has recorded.

AnnouncementWithMissingFieldsIsRejected.

--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -43,8 +43,8 @@
   std::string mAgentName;
   base::Incarnation mAgentIncarnation;
   Session mSession;
-  std::uint64_t mReportSequence = 0;
-  bool mHasLease = false; ///< granted by this leader and not expired
+  std::uint64_t mReportSequence = 0; ///< of the newest report, for the log
+  bool mHasLease = false;            ///< granted by this leader and not expired
   bool mOrdersChanged = false;
   protocol::FencingToken mFencingToken;
   base::Time mFirstReportAt; ///< first report to this leader
@@ -62,6 +62,18 @@
   base::Time mStalledAt; ///< when a run here was last found stalled
 };
 
+/** What the leader knows of the agent on one VM. */
+struct AgentView
+{
+  /** The newest target of which the agent has proof, or the one that an earlier
+   * leader has bound; empty: none. */
+  TargetIncarnation mTarget;
+  bool mIsReported = false; ///< mTarget comes from a report to this leader
+  base::Incarnation mIncarnation; ///< of the newest report
+  std::uint64_t mReportSequence = 0;
+  std::vector<base::Incarnation> mEarlierIncarnations; ///< oldest first
+};
+
 /** A request that is answered after a commit. */
 struct PendingRequest
 {
@@ -106,7 +118,7 @@
   std::uint64_t mFencingTokenCounter = 0; ///< see NextFencingToken
   std::map<RunId, OpenRun> mRuns;
   std::map<TargetIncarnation, Worker> mWorkers;
-  std::map<std::string, TargetIncarnation> mTargetByAgent;
+  std::map<std::string, AgentView> mAgents; ///< by name
   std::map<TaskId, base::Time> mReadySince;
   RunTimeEstimator mRunTimeEstimator;
   QueueHeads mQueueHeads;
--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -15,6 +15,18 @@
  */
 constexpr std::size_t kMaxListedEnds = 500;
 
+constexpr std::size_t kMaxCandidates = 4;
+/** Candidates are forgotten without an announcement for this long; targets
+ * announce themselves about every 1.5 s. */
+constexpr base::Duration kMaxCandidateAge = base::Milliseconds(5000);
+constexpr base::Duration kProbeInterval = base::Milliseconds(200);
+/** A target that has neither been listed nor announced itself for this long is
+ * silent; longer than the interval of announcements. */
+constexpr base::Duration kSilence = base::Milliseconds(2000);
+/** By how much the lease of a target may outlast the agent's view of it, as the
+ * target's clock may be slow. */
+constexpr base::Duration kLeaseSlack = base::Milliseconds(500);
+
 bool
 HasSameInfo(const protocol::TargetInfo& aLeft,
             const protocol::TargetInfo& aRight)
@@ -66,12 +78,9 @@
   if (isPast) {
     return "this incarnation has ended";
   }
-  if (mTarget && mTarget->mTargetIncarnation == incarnation) {
-    return aSequence <= mAnnounceSequence ? "a newer message has arrived"
-                                          : nullptr;
-  }
-  if (mTarget && incarnation.mStartMs < mTarget->mTargetIncarnation.mStartMs) {
-    return "a later incarnation is present";
+  if (mTarget && mTarget->mTargetIncarnation == incarnation &&
+      aSequence <= mAnnounceSequence) {
+    return "a newer message has arrived";
   }
   return nullptr;
 }
@@ -90,41 +99,167 @@
 bool
 WorkerAgent::OnAnnounced(const protocol::TargetInfo& aTargetInfo,
                          std::uint64_t aSequence,
-                         base::Time aNow)
+                         base::Time aNow,
+                         const std::string& aAddress)
 {
   if (WhyDrops(aTargetInfo, aSequence) != nullptr) {
     return false; // a delayed or repeated message
   }
   const auto& incarnation = aTargetInfo.mTargetIncarnation;
   if (mTarget && mTarget->mTargetIncarnation == incarnation) {
-    const bool isLateLeaveMessage = mLeaveMessageAt && !aTargetInfo.mLeaving;
-    if (isLateLeaveMessage) {
-      mLeaveMessageAt.reset(); // it was of an earlier incarnation
-    }
-    const bool changed =
-      isLateLeaveMessage || !HasSameInfo(*mTarget, aTargetInfo);
-    mAnnounceSequence = aSequence;
-    mAnnouncedAt = aNow;
-    // The leader decided on these starts by an earlier capacity. It places the
-    // tasks again by the new one.
-    if (IsLess(aTargetInfo.mCapacity, mTarget->mCapacity)) {
-      RejectPendingStarts("the target's capacity is less than before");
+    return UpdatePresent(aTargetInfo, aSequence, aNow);
+  }
+  Candidate announced;
+  announced.mTargetInfo = aTargetInfo;
+  announced.mSequence = aSequence;
+  announced.mAddress = aAddress;
+  announced.mAnnouncedAt = aNow;
+  if (!mTarget) {
+    SetTarget(announced);
+    return true;
+  }
+  const auto it = std::find_if(
+    mCandidates.begin(), mCandidates.end(), [&](const Candidate& aEach) {
+      return aEach.mTargetInfo.mTargetIncarnation == incarnation;
+    });
+  if (it == mCandidates.end()) {
+    if (mCandidates.size() == kMaxCandidates) {
+      mCandidates.erase(mCandidates.begin());
     }
-    const bool wasLeaving = mTarget->mLeaving;
-    mTarget = aTargetInfo;
-    // A target that leaves does not return within the same incarnation.
-    mTarget->mLeaving = mTarget->mLeaving || wasLeaving;
-    return changed;
-  }
-  // Without an announcement before, the last incarnation has crashed.
-  ResetTarget(mTarget && !mTarget->mLeaving && !mLeaveMessageAt);
-  mTarget = aTargetInfo;
+    mCandidates.push_back(announced);
+  } else if (aSequence > it->mSequence) {
+    announced.mNextProbe = it->mNextProbe;
+    announced.mInFlight = it->mInFlight;
+    announced.mHasAnswered = it->mHasAnswered;
+    *it = announced;
+  }
+  return ReplaceByAnyCandidate(aNow);
+}
+
+bool
+WorkerAgent::UpdatePresent(const protocol::TargetInfo& aTargetInfo,
+                           std::uint64_t aSequence,
+                           base::Time aNow)
+{
+  const bool isLateLeaveMessage = mLeaveMessageAt && !aTargetInfo.mLeaving;
+  if (isLateLeaveMessage) {
+    mLeaveMessageAt.reset(); // it was of an earlier incarnation
+  }
+  const bool changed =
+    isLateLeaveMessage || !HasSameInfo(*mTarget, aTargetInfo);
   mAnnounceSequence = aSequence;
   mAnnouncedAt = aNow;
+  // The leader decided on these starts by an earlier capacity. It places the
+  // tasks again by the new one.
+  if (IsLess(aTargetInfo.mCapacity, mTarget->mCapacity)) {
+    RejectPendingStarts("the target's capacity is less than before");
+  }
+  const bool wasLeaving = mTarget->mLeaving;
+  mTarget = aTargetInfo;
+  // A target that leaves does not return within the same incarnation.
+  mTarget->mLeaving = mTarget->mLeaving || wasLeaving;
+  return changed;
+}
+
+void
+WorkerAgent::SetTarget(const Candidate& aCandidate)
+{
+  mTarget = aCandidate.mTargetInfo;
+  mAddress = aCandidate.mAddress;
+  mAnnounceSequence = aCandidate.mSequence;
+  mAnnouncedAt = aCandidate.mAnnouncedAt;
+  const auto& incarnation = mTarget->mTargetIncarnation;
   if (incarnation.mStartMs > 0) {
     mFencingToken =
       std::max(mFencingToken, protocol::FencingTokenOf(incarnation));
   }
+}
+
+std::optional<TargetProbe>
+WorkerAgent::NextProbe(base::Time aNow)
+{
+  mCandidates.erase(std::remove_if(mCandidates.begin(),
+                                   mCandidates.end(),
+                                   [aNow](const Candidate& aEach) {
+                                     return !aEach.mInFlight &&
+                                            aNow - aEach.mAnnouncedAt >
+                                              kMaxCandidateAge;
+                                   }),
+                    mCandidates.end());
+  for (Candidate& each : mCandidates) {
+    if (!each.mInFlight && each.mNextProbe <= aNow) {
+      each.mInFlight = true;
+      // A target that has started since has seen no token, so that it takes the
+      // present one. A higher one would lock this agent out of the present
+      // target if the announcement was a late one under its id.
+      return TargetProbe{ each.mTargetInfo.mTargetIncarnation,
+                          each.mAddress,
+                          mFencingToken };
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+WorkerAgent::OnProbed(const protocol::TargetIncarnation& aTargetIncarnation,
+                      bool aHasAnswered,
+                      base::Time aNow)
+{
+  for (Candidate& each : mCandidates) {
+    if (each.mTargetInfo.mTargetIncarnation == aTargetIncarnation) {
+      each.mInFlight = false;
+      each.mNextProbe = aNow + kProbeInterval;
+      each.mHasAnswered = aHasAnswered;
+    }
+  }
+  return ReplaceByAnyCandidate(aNow);
+}
+
+bool
+WorkerAgent::HasRefusedConnections() const
+{
+  return mRefusals >= kRefusalsThatShowAnEnd;
+}
+
+bool
+WorkerAgent::IsSilent(base::Time aNow) const
+{
+  return aNow - std::max(mListCalledAt, mAnnouncedAt) > kSilence &&
+         (mLeaseUntil == base::Time() || aNow - mLeaseUntil > kLeaseSlack);
+}
+
+bool
+WorkerAgent::ReplaceByAnyCandidate(base::Time aNow)
+{
+  const auto candidates = mCandidates; // ReplaceBy clears mCandidates
+  return std::any_of(
+    candidates.begin(), candidates.end(), [&](const Candidate& aEach) {
+      return ReplaceBy(aEach, aNow);
+    });
+}
+
+/** Replaces the present target if it has ended or is silent. */
+bool
+WorkerAgent::ReplaceBy(const Candidate& aCandidate, base::Time aNow)
+{
+  if (!mTarget) {
+    return false;
+  }
+  const bool isSamePlace =
+    aCandidate.mAddress == mAddress ||
+    aCandidate.mTargetInfo.mTargetIncarnation.mInstance ==
+      mTarget->mTargetIncarnation.mInstance;
+  const bool hasEnded =
+    aCandidate.mHasAnswered && (isSamePlace || HasRefusedConnections());
+  if (!hasEnded && !IsSilent(aNow)) {
+    return false;
+  }
+  if (hasEnded) {
+    // Without an announcement before, the target has crashed.
+    RecordEnd(!mTarget->mLeaving && !mLeaveMessageAt);
+  }
+  ResetTarget();
+  SetTarget(aCandidate);
   return true;
 }
 
@@ -145,6 +280,7 @@
 {
   if (WhyDropsLeaveMessage(aInstance) == nullptr) {
     mLeaveMessageAt = aNow;
+    mRefusals = 0;
   }
 }
 
@@ -153,12 +289,21 @@
   const protocol::TargetIncarnation& aTargetIncarnation,
   base::Time aCalledAt)
 {
-  if (!mTarget || mTarget->mTargetIncarnation != aTargetIncarnation ||
-      !mLeaveMessageAt || aCalledAt < *mLeaveMessageAt ||
-      ++mRefusals < kRefusalsThatShowAnEnd) {
+  if (!mTarget || mTarget->mTargetIncarnation != aTargetIncarnation) {
+    return false;
+  }
+  if (mLeaveMessageAt && aCalledAt < *mLeaveMessageAt) {
     return false;
   }
-  ResetTarget(false);
+  ++mRefusals;
+  if (ReplaceByAnyCandidate(aCalledAt)) {
+    return true;
+  }
+  if (!mLeaveMessageAt || !HasRefusedConnections()) {
+    return false;
+  }
+  RecordEnd(false);
+  ResetTarget();
   return true;
 }
 
@@ -180,21 +325,26 @@
   return { runs.begin(), runs.end() };
 }
 
+/** Adds the present target to the incarnations that have ended. */
 void
-WorkerAgent::ResetTarget(bool aHasCrashed)
+WorkerAgent::RecordEnd(bool aHasCrashed)
 {
-  if (mTarget) {
-    auto crashedRuns =
-      aHasCrashed ? RunsThatMayRun() : std::vector<protocol::RunId>();
-    // The last ends may not have been reported to the leader yet.
-    mEndedIncarnations.push_back({ mTarget->mTargetIncarnation,
-                                   std::move(mEnded),
-                                   std::move(crashedRuns) });
-    if (mEndedIncarnations.size() > kMaxEndedIncarnations) {
-      mEndedIncarnations.erase(mEndedIncarnations.begin());
-    }
+  auto crashedRuns =
+    aHasCrashed ? RunsThatMayRun() : std::vector<protocol::RunId>();
+  // The last ends may not have been reported to the leader yet.
+  mEndedIncarnations.push_back(
+    { mTarget->mTargetIncarnation, std::move(mEnded), std::move(crashedRuns) });
+  if (mEndedIncarnations.size() > kMaxEndedIncarnations) {
+    mEndedIncarnations.erase(mEndedIncarnations.begin());
   }
+}
+
+void
+WorkerAgent::ResetTarget()
+{
   mTarget.reset();
+  mAddress.clear();
+  mCandidates.clear();
   mLeaveMessageAt.reset();
   mRefusals = 0;
   mAnnounceSequence = 0;
@@ -214,6 +364,7 @@
   mRunning.clear();
   mEnded.clear();
   mClockAt = base::Time();
+  mListCalledAt = base::Time();
 }
 
 void
@@ -450,6 +601,7 @@
   report.mAgentName = mOptions.mName;
   report.mSequence = ++mReportSequence;
   report.mSentAtUs = aNow.time_since_epoch().count();
+  report.mOrdersTerm = mTerm;
   report.mTarget = mTarget;
   if (mLeaveMessageAt) {
     report.mTarget->mLeaving = true;
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -50,6 +50,15 @@
   Unknown,   ///< may have been executed, or may be executed later
 };
 
+/** A call that shows whether an announced target answers under its id. It
+ * renews no lease and acknowledges no end. */
+struct TargetProbe
+{
+  protocol::TargetIncarnation mTargetIncarnation;
+  std::string mAddress;
+  protocol::FencingToken mFencingToken;
+};
+
 /** Lease and acknowledgement for the next renewal. */
 struct Renewal
 {
@@ -63,19 +72,37 @@
  * The agent's state. A start stays due until the target has accepted it or the
  * leader has withdrawn it. A rejected start is followed by a stop of the same
  * run: once the stop is answered and the run is not listed, no copy of the
- * start that is still in flight can start the run any more. Thread safety:
- * none.
+ * start that is still in flight can start the run any more.
+ *
+ * An announcement alone ends no target: it may be late, of another writer, or
+ * of a VM whose clock was set back, so that start times give no order. Another
+ * target that announces itself is a candidate, which is probed. It replaces the
+ * present one once it answers at the same address or under the same id, or once
+ * it answers and the present one refuses connections. Both show that the
+ * present one has ended. It also replaces one that is silent beyond the end of
+ * its lease, whose runs are left to the leader. Thread safety: none.
  */
 class WorkerAgent
 {
 public:
   explicit WorkerAgent(const WorkerAgentOptions& aOptions);
 
-  /** Handles an announcement by the target; aSequence rises within an
-   * incarnation. Returns whether anything but the sequence changed. */
+  /** Handles an announcement by a target; aSequence rises within an
+   * incarnation, aAddress is where the target takes calls. Returns whether
+   * anything but the sequence of the present target changed. */
   bool OnAnnounced(const protocol::TargetInfo& aTargetInfo,
                    std::uint64_t aSequence,
-                   base::Time aNow);
+                   base::Time aNow,
+                   const std::string& aAddress = {});
+  /** Returns the next candidate to probe, if one is due. It is in flight until
+   * OnProbed. */
+  std::optional<TargetProbe> NextProbe(base::Time aNow);
+  bool HasCandidates() const { return !mCandidates.empty(); }
+  /** Handles the result of a probe: whether that incarnation has answered.
+   * Returns whether a candidate has replaced the present target. */
+  bool OnProbed(const protocol::TargetIncarnation& aTargetIncarnation,
+                bool aHasAnswered,
+                base::Time aNow);
   /** Returns why OnAnnounced ignores this announcement as outdated, or null.
    */
   const char* WhyDrops(const protocol::TargetInfo& aTargetInfo,
@@ -89,8 +116,9 @@
   void OnLeaveMessage(const std::string& aInstance, base::Time aNow);
   /** Handles a refused connection to the target, called at aCalledAt. Returns
    * whether this shows that the target has ended, as its planned end had come
-   * before. A single refusal may be a reset of a connection that was being
-   * opened, so that two calls without a list between them are needed. */
+   * before or a candidate has answered. A single refusal may be a reset of a
+   * connection that was being opened, so that two calls without a list between
+   * them are needed. */
   bool OnConnectionRefused(
     const protocol::TargetIncarnation& aTargetIncarnation,
     base::Time aCalledAt);
@@ -124,6 +152,8 @@
 
   /** Returns the target's last announced description, or null. */
   const protocol::TargetInfo* Target() const;
+  /** Returns the address that the target announced. */
+  const std::string& TargetAddress() const { return mAddress; }
 
 private:
   struct StartState
@@ -142,8 +172,29 @@
     base::Time mNextTry;
   };
 
+  /** A target that announced itself while another one was present. */
+  struct Candidate
+  {
+    protocol::TargetInfo mTargetInfo;
+    std::uint64_t mSequence = 0;
+    std::string mAddress;
+    base::Time mAnnouncedAt;
+    base::Time mNextProbe;
+    bool mInFlight = false;
+    bool mHasAnswered = false;
+  };
+
   std::int64_t ToTargetClock(base::Time aTime) const;
-  void ResetTarget(bool aHasCrashed);
+  bool UpdatePresent(const protocol::TargetInfo& aTargetInfo,
+                     std::uint64_t aSequence,
+                     base::Time aNow);
+  void SetTarget(const Candidate& aCandidate);
+  bool ReplaceBy(const Candidate& aCandidate, base::Time aNow);
+  bool ReplaceByAnyCandidate(base::Time aNow);
+  bool HasRefusedConnections() const;
+  bool IsSilent(base::Time aNow) const;
+  void RecordEnd(bool aHasCrashed);
+  void ResetTarget();
   std::vector<protocol::RunId> RunsThatMayRun() const;
   bool UpdateNeverRan(base::Time aCalledAt);
   void RejectPendingStarts(const std::string& aReason);
@@ -152,10 +203,12 @@
   std::uint64_t mReportSequence = 0;
 
   std::optional<protocol::TargetInfo> mTarget;
+  std::string mAddress;                ///< of mTarget
   std::uint64_t mAnnounceSequence = 0; ///< newest from mTarget
+  std::vector<Candidate> mCandidates;
   base::Time mAnnouncedAt;
   std::optional<base::Time> mLeaveMessageAt; ///< see OnLeaveMessage
-  unsigned mRefusals = 0; ///< connections refused since then and the last list
+  unsigned mRefusals = 0; ///< connections refused since the last list
   std::vector<protocol::EndedIncarnation> mEndedIncarnations;
 
   base::Term mTerm;
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -11,6 +11,8 @@
  * its tasks from starting elsewhere forever. Shorter than a lease, and longer
  * than a few lost calls take. */
 constexpr std::uint64_t kMaxListAgeForGrantMs = 2000;
+/** Ended processes of an agent whose late reports are recognized. */
+constexpr std::size_t kMaxEarlierAgents = 8;
 
 /** Returns the time after the newest grant by which the target has ended all of
  * its runs, also with the slowest clock allowed. */
@@ -99,9 +101,10 @@
   }
 }
 
-/** Moves the open runs of all earlier incarnations of the same instance to
- * aTargetIncarnation. A new leader has these incarnations only in the
- * replicated runs. */
+/** Moves the open runs of all other incarnations of the same instance to
+ * aTargetIncarnation, which has answered. A new leader has these incarnations
+ * only in the replicated runs. Their start times may be higher, as the clock of
+ * the VM may have been set back. */
 void
 StopRunsOfEarlierIncarnations(LeaderContext& aLeader,
                               const TargetIncarnation& aTargetIncarnation)
@@ -109,7 +112,7 @@
   std::set<TargetIncarnation> earlier;
   for (const auto& [run, open] : aLeader.mRuns) {
     if (open.mTarget.mInstance == aTargetIncarnation.mInstance &&
-        open.mTarget.mStartMs < aTargetIncarnation.mStartMs) {
+        open.mTarget != aTargetIncarnation) {
       earlier.insert(open.mTarget);
     }
   }
@@ -174,54 +177,137 @@
   }
 }
 
-/** Updates the data of the reporting worker, and adds it if it is new. Returns
- * the worker, or null if the report is outdated. */
-Worker*
-UpdateReportingWorker(LeaderContext& aLeader,
-                      Session aSession,
-                      const protocol::WorkerReport& aReport)
+/** How a report relates to the ones of the same agent before. */
+enum class ReportOrder : std::uint8_t
 {
-  const TargetIncarnation& incarnation = aReport.mTarget->mTargetIncarnation;
-  auto& known = aLeader.mTargetByAgent[aReport.mAgentName];
-  if (known != incarnation && !known.mInstance.empty()) {
-    if (incarnation.mStartMs >= known.mStartMs) {
-      RemoveEndedWorker(aLeader, known, &incarnation, aReport);
-    } else if (aLeader.mWorkers.count(known) > 0) {
-      return nullptr;
+  Newest,
+  Outdated,
+  /** Of a process that has not reported before. It may also be an ended one
+   * whose report was delayed. */
+  UnknownProcess,
+};
+
+/** Orders a report by its process and sequence: reports may overtake each
+ * other. Another process becomes the newest with a report in which it shows
+ * orders of this leader. */
+ReportOrder
+OrderReport(LeaderContext& aLeader, const protocol::WorkerReport& aReport)
+{
+  AgentView& agent = aLeader.mAgents[aReport.mAgentName];
+  auto& earlier = agent.mEarlierIncarnations;
+  const bool isFirst =
+    agent.mIncarnation == base::Incarnation() && agent.mReportSequence == 0;
+  if (isFirst || agent.mIncarnation == aReport.mAgent) {
+    if (aReport.mSequence <= agent.mReportSequence) {
+      return ReportOrder::Outdated;
+    }
+  } else if (std::count(earlier.begin(), earlier.end(), aReport.mAgent) > 0) {
+    return ReportOrder::Outdated;
+  } else if (aReport.mOrdersTerm != aLeader.mTerm) {
+    return ReportOrder::UnknownProcess;
+  } else {
+    earlier.push_back(agent.mIncarnation);
+    if (earlier.size() > kMaxEarlierAgents) {
+      earlier.erase(earlier.begin());
     }
-    // Else an earlier leader has bound the known target, and the VM's clock may
-    // have been set back since. This proves nothing about the target's runs.
   }
-  known = incarnation;
+  agent.mIncarnation = aReport.mAgent;
+  agent.mReportSequence = aReport.mSequence;
+  return ReportOrder::Newest;
+}
+
+/** Returns whether the target of the report has a lease through the agent of
+ * another VM. Its announcement has then reached the wrong agent. */
+bool
+IsTargetOfOtherAgent(const LeaderContext& aLeader,
+                     const protocol::WorkerReport& aReport)
+{
+  const auto it = aLeader.mWorkers.find(aReport.mTarget->mTargetIncarnation);
+  return it != aLeader.mWorkers.end() && it->second.mHasLease &&
+         it->second.mAgentName != aReport.mAgentName;
+}
+
+/** Returns whether the report shows that its target is the present one of the
+ * agent's VM, so that the runs of another one are over. An announcement alone
+ * may be late or of another writer: the target has to have answered a call. A
+ * report from before the election shows nothing about a target that an earlier
+ * leader has bound, as it may have been delayed. */
+bool
+IsPresentTarget(const LeaderContext& aLeader,
+                const protocol::WorkerReport& aReport)
+{
+  const AgentView& agent = aLeader.mAgents.at(aReport.mAgentName);
+  const auto& incarnation = aReport.mTarget->mTargetIncarnation;
+  if (agent.mTarget == incarnation) {
+    return true;
+  }
+  return aReport.mHasRunLists &&
+         (agent.mTarget.mInstance.empty() || agent.mIsReported ||
+          aReport.mOrdersTerm == aLeader.mTerm);
+}
+
+/** Ends the runs of the target that the agent had before aReport, if it is
+ * another one. Precondition: IsPresentTarget. */
+void
+ReplaceTargetOfAgent(LeaderContext& aLeader,
+                     const protocol::WorkerReport& aReport)
+{
+  const auto& incarnation = aReport.mTarget->mTargetIncarnation;
+  AgentView& agent = aLeader.mAgents[aReport.mAgentName];
+  const auto previous = agent.mTarget;
+  if (previous == incarnation && agent.mIsReported) {
+    return;
+  }
+  agent.mTarget = incarnation;
+  agent.mIsReported = true;
+  if (previous != incarnation && !previous.mInstance.empty()) {
+    RemoveEndedWorker(aLeader, previous, &incarnation, aReport);
+  }
+  StopRunsOfEarlierIncarnations(aLeader, incarnation);
+}
+
+/** Returns the worker of the report's target, which is added if it is new, and
+ * sends its orders to the session of the report. */
+Worker&
+AddWorker(LeaderContext& aLeader,
+          Session aSession,
+          const protocol::WorkerReport& aReport)
+{
+  const TargetIncarnation& incarnation = aReport.mTarget->mTargetIncarnation;
   const auto [it, isNew] = aLeader.mWorkers.try_emplace(incarnation);
   Worker& worker = it->second;
   if (isNew) {
     worker.mFirstReportAt = aLeader.mNow;
+    worker.mAgentName = aReport.mAgentName;
+    worker.mTargetInfo = *aReport.mTarget;
     worker.mFencingToken = incarnation.mStartMs > 0
                              ? protocol::FencingTokenOf(incarnation)
                              : NextFencingToken(aLeader);
-    StopRunsOfEarlierIncarnations(aLeader, incarnation);
   }
-  if (worker.mAgentIncarnation == aReport.mAgent &&
-      aReport.mSequence <= worker.mReportSequence) {
-    return nullptr;
-  }
-  if (worker.mTargetInfo.mLeaving != aReport.mTarget->mLeaving ||
-      !(worker.mTargetInfo.mCapacity == aReport.mTarget->mCapacity)) {
+  worker.mSession = aSession;
+  worker.mOrdersChanged = true;
+  return worker;
+}
+
+void
+UpdateWorker(LeaderContext& aLeader,
+             Worker& aWorker,
+             const protocol::WorkerReport& aReport)
+{
+  if (aWorker.mTargetInfo.mLeaving != aReport.mTarget->mLeaving ||
+      !(aWorker.mTargetInfo.mCapacity == aReport.mTarget->mCapacity)) {
     aLeader.mDecisionDue = true;
   }
-  worker.mAgentIncarnation = aReport.mAgent;
-  worker.mAgentName = aReport.mAgentName;
-  worker.mReportSequence = aReport.mSequence;
-  worker.mSession = aSession;
-  worker.mTargetInfo = *aReport.mTarget;
-  worker.mLeavesAt.reset();
-  if (worker.mTargetInfo.mLeaving && worker.mTargetInfo.mRemainingMs > 0) {
-    worker.mLeavesAt =
+  aWorker.mAgentIncarnation = aReport.mAgent;
+  aWorker.mAgentName = aReport.mAgentName;
+  aWorker.mReportSequence = aReport.mSequence;
+  aWorker.mTargetInfo = *aReport.mTarget;
+  aWorker.mLeavesAt.reset();
+  if (aWorker.mTargetInfo.mLeaving && aWorker.mTargetInfo.mRemainingMs > 0) {
+    aWorker.mLeavesAt =
       aLeader.mNow + base::Milliseconds(static_cast<std::int64_t>(
-                       worker.mTargetInfo.mRemainingMs));
+                       aWorker.mTargetInfo.mRemainingMs));
   }
-  return &worker;
 }
 
 /** Counts consecutive failures of a worker from how its runs end. */
@@ -468,6 +554,16 @@
              Session aSession,
              const protocol::WorkerReport& aReport)
 {
+  const auto order = OrderReport(aLeader, aReport);
+  if (order == ReportOrder::Outdated) {
+    return;
+  }
+  if (order == ReportOrder::UnknownProcess) {
+    if (aReport.mTarget && !IsTargetOfOtherAgent(aLeader, aReport)) {
+      AddWorker(aLeader, aSession, aReport); // its orders ask for a new report
+    }
+    return;
+  }
   for (const protocol::EndedIncarnation& past : aReport.mEndedIncarnations) {
     ProcessEndsOfIncarnation(aLeader, past, aReport);
     CountCrash(aLeader, past, aReport);
@@ -477,24 +573,26 @@
                                       : nullptr,
                       aReport);
   }
-  if (!aReport.mTarget) {
+  if (!aReport.mTarget || IsTargetOfOtherAgent(aLeader, aReport)) {
     return;
   }
-  Worker* worker = UpdateReportingWorker(aLeader, aSession, aReport);
-  if (worker == nullptr) {
-    return;
+  const bool isPresent = IsPresentTarget(aLeader, aReport);
+  if (isPresent) {
+    ReplaceTargetOfAgent(aLeader, aReport);
   }
   const TargetIncarnation& incarnation = aReport.mTarget->mTargetIncarnation;
-  if (aReport.mHasRunLists) {
-    ProcessEnds(aLeader, incarnation, *worker, aReport);
+  Worker& worker = AddWorker(aLeader, aSession, aReport);
+  UpdateWorker(aLeader, worker, aReport);
+  if (!isPresent || !aReport.mHasRunLists) {
+    return;
   }
-  worker->mOrdersChanged = true;
-  if (!aReport.mHasRunLists || aReport.mListAgeMs > kMaxListAgeForGrantMs) {
+  ProcessEnds(aLeader, incarnation, worker, aReport);
+  if (aReport.mListAgeMs > kMaxListAgeForGrantMs) {
     return;
   }
-  UpdateRunningTasks(aLeader, *worker, aReport);
-  if (!worker->mHasLease) {
-    worker->mHasLease = true;
+  UpdateRunningTasks(aLeader, worker, aReport);
+  if (!worker.mHasLease) {
+    worker.mHasLease = true;
     ProposeBinding(aLeader, aReport.mAgentName, incarnation);
     AddEvent(aLeader,
              WorkloadEvent::Kind::WorkerJoined,
@@ -504,11 +602,11 @@
                { "rack", aReport.mTarget->mRack.Value() } });
     aLeader.mDecisionDue = true;
   }
-  worker->mListedAt =
+  worker.mListedAt =
     aLeader.mNow -
     base::Milliseconds(static_cast<std::int64_t>(aReport.mListAgeMs));
-  worker->mLastGrant = aLeader.mNow;
-  worker->mLeaseUntilUs =
+  worker.mLastGrant = aLeader.mNow;
+  worker.mLeaseUntilUs =
     aReport.mSentAtUs + aLeader.mOptions.mTaskLease.count();
 }
 
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -267,7 +267,9 @@
   leader.mLeadingSince = aNow;
   leader.mNextPurge = aNow + kPurgeInterval;
   if (leader.mOptions.mPolicies.mTargetBindings) {
-    leader.mTargetByAgent = leader.mState->BoundTargets();
+    for (const auto& [agent, target] : leader.mState->BoundTargets()) {
+      leader.mAgents[agent].mTarget = target;
+    }
   }
   StoreCatalogForDeltas(leader);
   for (const WorkloadId& id : leader.mState->Active()) {
--- a/dogwooddrum/daemon/WorkloadAgentHost.cpp
+++ b/dogwooddrum/daemon/WorkloadAgentHost.cpp
@@ -21,6 +21,7 @@
 using coordination::workloads::OrderCall;
 using coordination::workloads::OrderOutcome;
 using coordination::workloads::Renewal;
+using coordination::workloads::TargetProbe;
 using coordination::workloads::WorkerAgent;
 using coordination::workloads::WorkerAgentOptions;
 using protocol::MessageType;
@@ -39,6 +40,10 @@
 constexpr base::Duration kRenewalPause = base::Milliseconds(20);
 /** Pause after a renewal that failed or could not be sent. */
 constexpr base::Duration kRenewalRetry = base::Milliseconds(100);
+/** Longest pause of a thread without work; Wake ends it. */
+constexpr base::Duration kIdlePause = base::Milliseconds(60000);
+/** Pause between probes of a target that has not answered. */
+constexpr base::Duration kProbePause = base::Milliseconds(200);
 
 OrderOutcome
 ToOrderOutcome(OrderResult aResult)
@@ -186,7 +191,7 @@
 };
 
 /** Runs a WorkerAgent, the agent for workloads: one thread renews leases, one
- * sends orders. */
+ * sends orders, one probes targets that may have replaced the present one. */
 class WorkloadAgentHost final : public Host
 {
 public:
@@ -201,6 +206,7 @@
     , mOrderThread([this](transport::HttpClient* aClient) {
       return SendNextOrder(aClient);
     })
+    , mProbeThread([this](transport::HttpClient*) { return ProbeNextTarget(); })
   {
   }
   ~WorkloadAgentHost() override { Stop(); }
@@ -240,6 +246,7 @@
     mLoop.Start();
     mRenewalThread.Start();
     mOrderThread.Start();
+    mProbeThread.Start();
     mLinks->Start();
     return true;
   }
@@ -283,6 +290,7 @@
     }
     mRenewalThread.Stop();
     mOrderThread.Stop();
+    mProbeThread.Stop();
     mLoop.Stop();
   }
 
@@ -326,34 +334,102 @@
     bool changed = true;
     const std::lock_guard<std::mutex> lock(mMutex);
     LogIfDropped(aAnnounced, Now());
-    const auto* target = mAgent.Target();
-    const auto before = target == nullptr ? protocol::TargetIncarnation()
-                                          : target->mTargetIncarnation;
+    const auto before = PresentIncarnation();
+    const auto& announced = aAnnounced.mTargetInfo.mTargetIncarnation;
     if (aAnnounced.mHasLeft) {
-      mAgent.OnLeaveMessage(aAnnounced.mTargetInfo.mTargetIncarnation.mInstance,
-                            Now());
+      mAgent.OnLeaveMessage(announced.mInstance, Now());
     } else {
-      changed =
-        mAgent.OnAnnounced(aAnnounced.mTargetInfo, aAnnounced.mSequence, Now());
+      changed = mAgent.OnAnnounced(aAnnounced.mTargetInfo,
+                                   aAnnounced.mSequence,
+                                   Now(),
+                                   FormatAddress(aAnnounced.mAddress));
+      if (PresentIncarnation() != announced) {
+        mProbeThread.Wake();
+      }
     }
     if (!changed) {
       return;
     }
     LogIfEnded(before, StateOf(aAnnounced), aAnnounced.mSequence);
-    service::Log(
-      LogEvent::TargetAnnounced,
-      { { "target", aAnnounced.mTargetInfo.mTargetIncarnation.mInstance },
-        { "address",
-          aAnnounced.mAddress.mHost + ":" +
-            std::to_string(aAnnounced.mAddress.mPort) },
-        { "state", StateOf(aAnnounced) } });
-    if (!aAnnounced.mHasLeft) {
-      mRenewalThread.SetAddress(aAnnounced.mAddress);
-      mOrderThread.SetAddress(aAnnounced.mAddress);
+    service::Log(LogEvent::TargetAnnounced,
+                 { { "target", announced.mInstance },
+                   { "address", FormatAddress(aAnnounced.mAddress) },
+                   { "state", StateOf(aAnnounced) } });
+    if (PresentIncarnation() != before) {
+      CallPresentTarget();
     }
     SendReportLocked(Now());
   }
 
+  static std::string FormatAddress(const transport::Address& aAddress)
+  {
+    return aAddress.mHost + ":" + std::to_string(aAddress.mPort);
+  }
+
+  /** Returns the incarnation of the present target, which is empty if there is
+   * none. Precondition: mMutex is held. */
+  protocol::TargetIncarnation PresentIncarnation() const
+  {
+    const auto* target = mAgent.Target();
+    return target == nullptr ? protocol::TargetIncarnation()
+                             : target->mTargetIncarnation;
+  }
+
+  /** Makes the calls go to the present target. Precondition: mMutex is held. */
+  void CallPresentTarget()
+  {
+    const auto address = transport::ParseAddress(mAgent.TargetAddress());
+    if (mAgent.Target() != nullptr && address) {
+      mRenewalThread.SetAddress(*address);
+      mOrderThread.SetAddress(*address);
+    }
+  }
+
+  /** Calls the next target that has announced itself beside the present one. */
+  base::Duration ProbeNextTarget()
+  {
+    std::optional<TargetProbe> probe;
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      probe = mAgent.NextProbe(Now());
+      if (!probe) {
+        return mAgent.HasCandidates() ? kProbePause : kIdlePause;
+      }
+    }
+    const auto& incarnation = probe->mTargetIncarnation;
+    const auto address = transport::ParseAddress(probe->mAddress);
+    bool hasAnswered = false;
+    if (address) {
+      transport::HttpClientOptions options;
+      options.mIp = address->mHost;
+      options.mPort = address->mPort;
+      transport::HttpClient client(options);
+      LeaseRenewal call;
+      call.mFencingToken = probe->mFencingToken;
+      const auto outcome = client.Call(
+        mProtocol.EncodeLeaseRenewal(call, incarnation), kCallTimeout);
+      const auto listing = mProtocol.DecodeRunListing(outcome, incarnation);
+      hasAnswered = static_cast<bool>(listing);
+      if (!listing) {
+        service::Log(LogEvent::ListingFailed,
+                     { { "message", listing.LastFailure().mMessage } });
+      }
+    }
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const auto before = PresentIncarnation();
+    if (mAgent.OnProbed(incarnation, hasAnswered, Now())) {
+      LogIfEnded(before, "probe", 0);
+      service::Log(
+        LogEvent::TargetAnnounced,
+        { { "target", mAgent.Target()->mTargetIncarnation.mInstance },
+          { "address", mAgent.TargetAddress() },
+          { "state", "answers" } });
+      CallPresentTarget();
+      SendReportLocked(Now());
+    }
+    return base::Duration::zero();
+  }
+
   /** Logs that the agent ignores an announcement. Precondition: mMutex is
    * held. */
   void LogIfDropped(const Announcement& aAnnounced, base::Time aNow)
@@ -363,6 +439,11 @@
       aAnnounced.mHasLeft
         ? mAgent.WhyDropsLeaveMessage(incarnation.mInstance)
         : mAgent.WhyDrops(aAnnounced.mTargetInfo, aAnnounced.mSequence);
+    if (reason == nullptr && !aAnnounced.mHasLeft &&
+        mAgent.Target() != nullptr && PresentIncarnation() != incarnation) {
+      reason =
+        "another target is present; it is replaced once this one answers";
+    }
     if (reason != nullptr && mDroppedLimit.Take(aNow)) {
       service::Log(LogEvent::AnnouncementDropped,
                    { { "message", StateOf(aAnnounced) },
@@ -513,6 +594,7 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     if (mAgent.OnConnectionRefused(aTarget, aCalledAt)) {
       LogIfEnded(aTarget, "connection_refused", 0);
+      CallPresentTarget();
       SendReportLocked(Now());
     }
   }
@@ -527,7 +609,7 @@
       }
     }
     if (!call) {
-      return base::Milliseconds(60000); // until Wake is called
+      return kIdlePause;
     }
     const auto request = call->mIsStart
                            ? mProtocol.EncodeStart(call->mStart,
@@ -572,6 +654,7 @@
   EventLoop mLoop;
   CallThread mRenewalThread;
   CallThread mOrderThread;
+  CallThread mProbeThread;
   std::atomic<bool> mHasOrders{ false };
   std::atomic<std::size_t> mRunning{ 0 };
 };
--- a/dogwooddrum/protocol/WorkloadMessages.h
+++ b/dogwooddrum/protocol/WorkloadMessages.h
@@ -257,6 +257,9 @@
   std::string mAgentName;
   std::uint64_t mSequence = 0; ///< increases within an agent incarnation
   std::int64_t mSentAtUs = 0;  ///< by the agent's clock; echoed in a lease
+  /** Of the newest orders that the agent has received. In the term of a leader
+   * it shows that the report was made after the leader's election. */
+  base::Term mOrdersTerm;
   std::optional<TargetInfo> mTarget; ///< none: no target is known
   std::vector<EndedIncarnation>
     mEndedIncarnations;         ///< gone, or replaced by mTarget
@@ -271,6 +274,7 @@
              mAgentName,
              mSequence,
              mSentAtUs,
+             mOrdersTerm,
              mTarget,
              mEndedIncarnations,
              mHasRunLists,
--- a/tests/platform/OddTargetMessages.cpp
+++ b/tests/platform/OddTargetMessages.cpp
@@ -20,7 +20,10 @@
   return json{ { "service", "pool" },
                { "addr", "10.0.0.9:8080" },
                { "zone", "z" },
+               { "version", "v1" },
+               { "slots", 8 },
                { "state", "ready" },
+               { "warmup_left_ms", 0 },
                { "capacity",
                  { { "cpu", 16000 }, { "mem_mb", 32768 }, { "gpu", 8 } } },
                { "labels", { "a", "r1" } },
@@ -67,6 +70,23 @@
   EXPECT_TRUE(Announce(ValidAnnouncement().dump()));
 }
 
+// A heartbeat of another writer, with fields missing, was taken for the next
+// target of a VM.
+TEST(OddTargetMessages, AnnouncementWithMissingFieldsIsRejected)
+{
+  const json valid = ValidAnnouncement();
+  for (const auto& field : valid.items()) {
+    if (field.key() == "born") {
+      continue; // the page's own example has none
+    }
+    json body = valid;
+    body.erase(field.key());
+    EXPECT_FALSE(Announce(body.dump())) << field.key();
+    EXPECT_FALSE(AnnounceWith(field.key().c_str(), json::object()))
+      << field.key();
+  }
+}
+
 // A recursive decoder would use up the stack. 500,000 levels are as many as a
 // message of 1 MB holds.
 TEST(OddTargetMessages, DeepNestingEndsNoProcess)
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -154,6 +154,7 @@
                      const protocol::TaskId& aTask,
                      const std::string& aName);
   void AnnounceTarget(std::size_t aWorker);
+  void ProbeCandidates(std::size_t aWorker);
   void RunDeposedLeader();
   /** Runs aWork now, or when the agent's pause is over. */
   void RunAtAgent(std::size_t aWorker, std::function<void()> aWork);
--- a/tests/support/WorkloadSimulationTargets.cpp
+++ b/tests/support/WorkloadSimulationTargets.cpp
@@ -245,12 +245,30 @@
   if (mNowMs < worker.mPausedUntil) {
     return;
   }
+  ProbeCandidates(aWorker);
   SendOrders(aWorker);
   if (mNowMs >= worker.mNextRenewal) {
     Renew(aWorker);
   }
 }
 
+void
+WorkloadSimulation::ProbeCandidates(std::size_t aWorker)
+{
+  Worker& worker = *mWorkers[aWorker];
+  Target& target = *worker.mTarget;
+  while (const auto probe = worker.mAgent->NextProbe(mNow)) {
+    const bool answers =
+      worker.mTargetDownUntil <= mNowMs &&
+      probe->mTargetIncarnation == target.mTargetInfo.mTargetIncarnation &&
+      probe->mFencingToken.Value() >= target.mToken;
+    if (answers) {
+      target.mToken = probe->mFencingToken.Value();
+    }
+    worker.mAgent->OnProbed(probe->mTargetIncarnation, answers, mNow);
+  }
+}
+
 void
 WorkloadSimulation::AnnounceTarget(std::size_t aWorker)
 {
