Order targets and agent processes without the time of day

A target that started after its clock was set back was never used.

Cause: start times, readings of a clock that may be set back, ordered the targets of a VM. This commit does the same for the rest: an agent raises a fencing token that its target rejects, as a restarted agent computes a lower one after a step back; and a leader orders the processes of an agent by their first reports.

AgentRaisesATokenThatItsTargetRejects fails without the raise.

--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -69,9 +69,10 @@
    * leader has bound; empty: none. */
   TargetIncarnation mTarget;
   bool mIsReported = false; ///< mTarget comes from a report to this leader
-  base::Incarnation mIncarnation; ///< of the newest report
+  /** Its processes, in the order of their first reports to this leader. */
+  std::vector<base::Incarnation> mProcesses;
+  std::size_t mCurrent = 0; ///< index of the process that is heard
   std::uint64_t mReportSequence = 0;
-  std::vector<base::Incarnation> mEarlierIncarnations; ///< oldest first
 };
 
 /** A request that is answered after a commit. */
--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -23,6 +23,8 @@
 /** A target that has neither been listed nor announced itself for this long is
  * silent; longer than the interval of announcements. */
 constexpr base::Duration kSilence = base::Milliseconds(2000);
+/** First step of a fencing token that was rejected; tokens count ms. */
+constexpr std::uint64_t kFirstTokenStep = 1000;
 /** By how much the lease of a target may outlast the agent's view of it, as the
  * target's clock may be slow. */
 constexpr base::Duration kLeaseSlack = base::Milliseconds(500);
@@ -215,6 +217,16 @@
   return ReplaceByAnyCandidate(aNow);
 }
 
+void
+WorkerAgent::OnTokenRejected(protocol::FencingToken aRejected)
+{
+  if (aRejected != mFencingToken) {
+    return; // raised since
+  }
+  mTokenStep = std::max(kFirstTokenStep, 2 * mTokenStep);
+  mFencingToken = protocol::FencingToken(mFencingToken.Value() + mTokenStep);
+}
+
 bool
 WorkerAgent::HasRefusedConnections() const
 {
@@ -433,6 +445,7 @@
   mClockAt = aNow;
   mListCalledAt = aCalledAt;
   mRefusals = 0;
+  mTokenStep = 0;
   mRunning = std::move(aRunning);
   mEnded = std::move(aEnded);
   mHasRunLists = true;
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -97,6 +97,11 @@
   /** Returns the next candidate to probe, if one is due. It is in flight until
    * OnProbed. */
   std::optional<TargetProbe> NextProbe(base::Time aNow);
+  /** Handles a call that a target rejected since it had seen a higher fencing
+   * token than aRejected. An earlier process of this agent may have used one,
+   * as start times do not rise on a VM whose clock was set back. Raises the
+   * token, by more with each rejection. */
+  void OnTokenRejected(protocol::FencingToken aRejected);
   bool HasCandidates() const { return !mCandidates.empty(); }
   /** Handles the result of a probe: whether that incarnation has answered.
    * Returns whether a candidate has replaced the present target. */
@@ -214,7 +219,8 @@
   base::Term mTerm;
   std::uint64_t mOrderSequence = 0;
   protocol::FencingToken
-    mFencingToken; ///< for mTarget; 0: no orders for it yet
+    mFencingToken;              ///< for mTarget; 0: no orders for it yet
+  std::uint64_t mTokenStep = 0; ///< by which mFencingToken was last raised
   base::Time mLeaseUntil;
   std::uint64_t mAcknowledged = 0;
   std::map<protocol::RunId, StartState> mStarts;
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -11,8 +11,8 @@
  * its tasks from starting elsewhere forever. Shorter than a lease, and longer
  * than a few lost calls take. */
 constexpr std::uint64_t kMaxListAgeForGrantMs = 2000;
-/** Ended processes of an agent whose late reports are recognized. */
-constexpr std::size_t kMaxEarlierAgents = 8;
+/** Processes of an agent whose late reports are recognized. */
+constexpr std::size_t kMaxAgentProcesses = 16;
 
 /** Returns the time after the newest grant by which the target has ended all of
  * its runs, also with the slowest clock allowed. */
@@ -187,31 +187,34 @@
   UnknownProcess,
 };
 
-/** Orders a report by its process and sequence: reports may overtake each
- * other. Another process becomes the newest with a report in which it shows
- * orders of this leader. */
+/** Orders a report by its process and sequence, as reports may overtake each
+ * other. A process becomes the current one with a report that shows orders of
+ * this leader. It got them for an earlier report, so that the order of first
+ * reports is that of the processes. */
 ReportOrder
 OrderReport(LeaderContext& aLeader, const protocol::WorkerReport& aReport)
 {
   AgentView& agent = aLeader.mAgents[aReport.mAgentName];
-  auto& earlier = agent.mEarlierIncarnations;
-  const bool isFirst =
-    agent.mIncarnation == base::Incarnation() && agent.mReportSequence == 0;
-  if (isFirst || agent.mIncarnation == aReport.mAgent) {
-    if (aReport.mSequence <= agent.mReportSequence) {
-      return ReportOrder::Outdated;
+  auto& processes = agent.mProcesses;
+  auto it = std::find(processes.begin(), processes.end(), aReport.mAgent);
+  if (it == processes.end()) {
+    if (processes.size() == kMaxAgentProcesses) {
+      const bool isPast = agent.mCurrent > 0;
+      processes.erase(processes.begin() + (isPast ? 0 : 1));
+      agent.mCurrent -= isPast ? 1 : 0;
     }
-  } else if (std::count(earlier.begin(), earlier.end(), aReport.mAgent) > 0) {
+    processes.push_back(aReport.mAgent);
+    it = std::prev(processes.end());
+  }
+  const auto index = static_cast<std::size_t>(it - processes.begin());
+  if (index < agent.mCurrent ||
+      (index == agent.mCurrent && aReport.mSequence <= agent.mReportSequence)) {
     return ReportOrder::Outdated;
-  } else if (aReport.mOrdersTerm != aLeader.mTerm) {
+  }
+  if (index > agent.mCurrent && aReport.mOrdersTerm != aLeader.mTerm) {
     return ReportOrder::UnknownProcess;
-  } else {
-    earlier.push_back(agent.mIncarnation);
-    if (earlier.size() > kMaxEarlierAgents) {
-      earlier.erase(earlier.begin());
-    }
   }
-  agent.mIncarnation = aReport.mAgent;
+  agent.mCurrent = index;
   agent.mReportSequence = aReport.mSequence;
   return ReportOrder::Newest;
 }
--- a/dogwooddrum/daemon/WorkloadAgentHost.cpp
+++ b/dogwooddrum/daemon/WorkloadAgentHost.cpp
@@ -399,6 +399,7 @@
     const auto& incarnation = probe->mTargetIncarnation;
     const auto address = transport::ParseAddress(probe->mAddress);
     bool hasAnswered = false;
+    bool isTokenRejected = false;
     if (address) {
       transport::HttpClientOptions options;
       options.mIp = address->mHost;
@@ -410,12 +411,16 @@
         mProtocol.EncodeLeaseRenewal(call, incarnation), kCallTimeout);
       const auto listing = mProtocol.DecodeRunListing(outcome, incarnation);
       hasAnswered = static_cast<bool>(listing);
+      isTokenRejected = IsTokenRejected(outcome);
       if (!listing) {
         service::Log(LogEvent::ListingFailed,
                      { { "message", listing.LastFailure().mMessage } });
       }
     }
     const std::lock_guard<std::mutex> lock(mMutex);
+    if (isTokenRejected) {
+      mAgent.OnTokenRejected(probe->mFencingToken);
+    }
     const auto before = PresentIncarnation();
     if (mAgent.OnProbed(incarnation, hasAnswered, Now())) {
       LogIfEnded(before, "probe", 0);
@@ -571,6 +576,10 @@
       if (outcome.mRefused) {
         OnConnectionRefused(renewal->mTargetIncarnation, begin);
       }
+      if (IsTokenRejected(outcome)) {
+        const std::lock_guard<std::mutex> lock(mMutex);
+        mAgent.OnTokenRejected(renewal->mFencingToken);
+      }
       return kRenewalRetry;
     }
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -588,6 +597,11 @@
     return now - begin < kRenewalPause ? kRenewalPause : base::Duration::zero();
   }
 
+  bool IsTokenRejected(const transport::HttpOutcome& aOutcome) const
+  {
+    return mProtocol.DecodeOrder(aOutcome).mResult == OrderResult::StaleToken;
+  }
+
   void OnConnectionRefused(const protocol::TargetIncarnation& aTarget,
                            base::Time aCalledAt)
   {
--- a/tests/error/DelayedAnnouncements.cpp
+++ b/tests/error/DelayedAnnouncements.cpp
@@ -73,5 +73,23 @@
   EXPECT_EQ(agent.Target()->mTargetIncarnation, kPresent);
 }
 
+// An agent that restarted computed its token from a start time that was set
+// back, and its target rejected each call.
+TEST(DelayedAnnouncements, AgentRaisesATokenThatItsTargetRejects)
+{
+  constexpr std::uint64_t kSeenByTarget = 90000;
+  WorkerAgent restarted({});
+  restarted.OnAnnounced(TargetInfoOf(kPresent), 8, At(10));
+  for (int i = 0; i < 10; ++i) {
+    const auto renewal = restarted.NextRenewal(At(20));
+    ASSERT_TRUE(renewal);
+    if (renewal->mFencingToken.Value() < kSeenByTarget) {
+      restarted.OnTokenRejected(renewal->mFencingToken);
+    }
+  }
+  EXPECT_GE(restarted.NextRenewal(At(30))->mFencingToken.Value(),
+            kSeenByTarget);
+}
+
 } // namespace
 } // namespace dogwooddrum::tests
--- a/tests/error/WorkloadRandomFaults.cpp
+++ b/tests/error/WorkloadRandomFaults.cpp
@@ -118,6 +118,35 @@
   RunUnderFaults(options);
 }
 
+class WorkloadClockStepSeeds : public testing::TestWithParam<std::uint64_t>
+{};
+
+// Late announcements of targets whose start times do not rise must neither end
+// the runs of the present target nor hide the next one, and an agent that
+// restarts must not stay below the token of its earlier process.
+TEST_P(WorkloadClockStepSeeds, KeepsInvariantsAndEnds)
+{
+  auto options = FaultyOptions(GetParam());
+  auto& faults = options.mFaults;
+  faults.mWrongClocks = 0.5;
+  faults.mAgentRestart = 0.001;
+  faults.mTargetRestart = 0.0005;
+  faults.mVmRestart = 0.0005;
+  faults.mLateAnnouncements = 0.2;
+  faults.mLateReports = 0.1;
+  faults.mLateOrdersOutliveTarget = false;
+  RunUnderFaults(options);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         WorkloadClockStepSeeds,
+                         testing::Range<std::uint64_t>(1, 101));
+// In these seeds and in 89, a late report of an agent process that had ended
+// was taken for one of the process after it.
+INSTANTIATE_TEST_SUITE_P(LateReportsOfEndedProcesses,
+                         WorkloadClockStepSeeds,
+                         testing::Values(203, 956));
+
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          WorkloadProcessFaultSeeds,
                          testing::Range<std::uint64_t>(1, 201));
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -160,8 +160,10 @@
 {
   Worker& worker = *mWorkers[aWorker];
   auto target = std::make_unique<Target>();
+  const auto errorMs =
+    HappensWith(mOptions.mFaults.mWrongClocks) ? Between(-3000, 3000) : 0;
   target->mTargetInfo.mTargetIncarnation = { "i-" + std::to_string(aWorker),
-                                             mNowMs };
+                                             mNowMs + errorMs };
   target->mTargetInfo.mPool = protocol::PoolName("pool");
   target->mTargetInfo.mRack =
     base::RackId("r" + std::to_string(aWorker / mOptions.mWorkersPerRack));
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -39,6 +39,9 @@
   /** Probabilities for each message. */
   double mLateAnnouncements = 0; ///< a copy arrives up to 5 s later
   double mLateReports = 0;       ///< arrives up to 3 s later
+  /** Probability that the clock of a VM is wrong by up to 3 s when its target
+   * starts, so that start times do not rise. */
+  double mWrongClocks = 0;
   /** Whether a late order may reach the next incarnation of its target. */
   bool mLateOrdersOutliveTarget = true;
   /** Probability that a deposed leader goes on for up to 1.5 s. */
--- a/tests/support/WorkloadSimulationTargets.cpp
+++ b/tests/support/WorkloadSimulationTargets.cpp
@@ -264,6 +264,8 @@
       probe->mFencingToken.Value() >= target.mToken;
     if (answers) {
       target.mToken = probe->mFencingToken.Value();
+    } else if (probe->mFencingToken.Value() < target.mToken) {
+      worker.mAgent->OnTokenRejected(probe->mFencingToken);
     }
     worker.mAgent->OnProbed(probe->mTargetIncarnation, answers, mNow);
   }
@@ -369,6 +371,10 @@
                              mNow,
                              mNow);
   }
+  if (renewal && worker.mTargetDownUntil <= mNowMs &&
+      renewal->mFencingToken.Value() < target.mToken) {
+    worker.mAgent->OnTokenRejected(renewal->mFencingToken);
+  }
   Report(aWorker);
 }
 
