Let crashes delay a task, not keep it from running

Cause: being kept apart from other suspects of crashes was a condition of each placement without a bound in time. Members of one gang were kept apart from each other, long runs of suspects held one target each, and a target with a task that runs alone took no other work. Ruled out: room, reservations, locality and suspicion of targets, which are bounded or only order the choice.

Change: tasks of one workload are not kept apart. A unit that has waited 2 s while the pool is idle for it, or 20 s in any pool, is placed without regard to crashes, on the target with the fewest suspects of other workloads. The count of crashes in the replicated state is as before.

Tests: the three of CrashingTasksRestart failed before; the other 11 of CrashingTasks pass as before.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -308,7 +308,7 @@
       aUnit.mCrashes.begin(), aUnit.mCrashes.end(), [](std::size_t aCrashes) {
         return aCrashes >= kCrashesBeforeIsolation;
       });
-    if (!runsAlone) {
+    if (!runsAlone || aUnit.mIgnoresCrashes) {
       return;
     }
     if (const auto reservation =
@@ -320,8 +320,12 @@
   bool TryPlace(PlacementUnit& aUnit)
   {
     mPlaced.ApplyTo(aUnit);
-    const auto assignment =
-      PlaceInFreeResources(aUnit, mViews, mLeader.mOptions.mPlacement);
+    const auto& options = mLeader.mOptions.mPlacement;
+    auto assignment = PlaceInFreeResources(aUnit, mViews, options);
+    if (!assignment && MayIgnoreCrashes(aUnit, mViews, options)) {
+      aUnit.mIgnoresCrashes = true;
+      assignment = PlaceInFreeResources(aUnit, mViews, options);
+    }
     if (!assignment) {
       return false;
     }
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -8,7 +8,14 @@
 namespace {
 
 /** Lower is better; compared lexicographically. */
-using Score = std::tuple<bool, bool, bool, bool, std::int64_t, std::int64_t>;
+using Score = std::tuple<std::size_t,
+                         std::size_t,
+                         bool,
+                         bool,
+                         bool,
+                         bool,
+                         std::int64_t,
+                         std::int64_t>;
 
 bool
 IsBelowStepLimit(const PlacementUnit& aUnit,
@@ -29,18 +36,36 @@
   return mayBackfill ? aWorker.mFree : aWorker.mFree - aWorker.mHeld;
 }
 
+/** Returns the highest number of crashes of a suspect of another workload. */
+std::size_t
+WorstOtherSuspect(const PlacementUnit& aUnit, const WorkerView& aWorker)
+{
+  std::size_t worst = 0;
+  for (const CrashSuspect& suspect : aWorker.mCrashSuspects) {
+    if (suspect.mWorkload != aUnit.mTasks.front().mWorkload) {
+      worst = std::max(worst, suspect.mCrashes);
+    }
+  }
+  return worst;
+}
+
 /** Scores a worker by best fit: the fewest remaining accelerators are best, so
- * that whole workers stay free for large tasks. */
+ * that whole workers stay free for large tasks. A unit that is not kept apart
+ * from suspects of crashes prefers workers with fewer of them, and with fewer
+ * runs if it is one itself. */
 Score
 ScoreOf(const PlacementUnit& aUnit, const WorkerView& aWorker)
 {
+  const bool isSuspect = aUnit.mIgnoresCrashes && !aUnit.mCrashes.empty();
   const ResourceVector remaining = aWorker.mFree - ResourcesOf(*aUnit.mStep);
   const bool farFromData = !aUnit.mStep->mDataRack.Value().empty() &&
                            aUnit.mStep->mDataRack != aWorker.mRack;
   const bool farFromStep = aUnit.mStep->mSameRack &&
                            !aUnit.mStepRacks.empty() &&
                            aUnit.mStepRacks.count(aWorker.mRack) == 0;
-  return { aWorker.mSuspect,
+  return { aUnit.mIgnoresCrashes ? WorstOtherSuspect(aUnit, aWorker) : 0,
+           isSuspect ? aWorker.mRunCount : 0,
+           aWorker.mSuspect,
            aUnit.mAvoid.count(aWorker.mTargetIncarnation) > 0,
            farFromData,
            farFromStep,
@@ -53,13 +78,13 @@
 {
   ResourceVector mFree;
   std::size_t mRunCount = 0;
-  std::size_t mCrashSuspects = 0;
+  std::size_t mCrashSuspects = 0; ///< number
 };
 
 UsedResources
 UsedResourcesOf(const WorkerView& aWorker)
 {
-  return { aWorker.mFree, aWorker.mRunCount, aWorker.mCrashSuspects };
+  return { aWorker.mFree, aWorker.mRunCount, aWorker.mCrashSuspects.size() };
 }
 
 void
@@ -67,20 +92,21 @@
 {
   aWorker.mFree = aUsed.mFree;
   aWorker.mRunCount = aUsed.mRunCount;
-  aWorker.mCrashSuspects = aUsed.mCrashSuspects;
+  aWorker.mCrashSuspects.resize(aUsed.mCrashSuspects);
 }
 
-/** Subtracts the resources of a task from the worker, all that are free if the
- * task runs alone. */
+/** Adds a run of a task of the unit to the worker. */
 void
 TakeResources(WorkerView& aWorker,
-              const ResourceVector& aNeed,
-              std::size_t aCrashes)
+              const PlacementUnit& aUnit,
+              std::size_t aTask)
 {
-  aWorker.mFree = aCrashes >= kCrashesBeforeIsolation ? ResourceVector()
-                                                      : aWorker.mFree - aNeed;
+  aWorker.mFree = aWorker.mFree - ResourcesOf(*aUnit.mStep);
   ++aWorker.mRunCount;
-  aWorker.mCrashSuspects += aCrashes > 0 ? 1 : 0;
+  if (!aUnit.mCrashes.empty()) {
+    aWorker.mCrashSuspects.push_back(
+      { aUnit.mTasks[aTask].mWorkload, CrashesOf(aUnit, aTask) });
+  }
 }
 
 /** Places each task of the unit on the best worker that aIsAllowed accepts. */
@@ -100,7 +126,7 @@
     for (std::size_t i = 0; i < aWorkers.size(); ++i) {
       if (!IsEligible(aUnit, aWorkers[i]) || !aIsAllowed(aWorkers[i]) ||
           !Fits(need, FreeFor(aUnit, aWorkers[i])) ||
-          !MayShareWorker(CrashesOf(aUnit, task), aWorkers[i]) ||
+          !MayShareWorker(aUnit, task, aWorkers[i]) ||
           !IsBelowStepLimit(aUnit, stepTasks, i)) {
         continue;
       }
@@ -117,7 +143,7 @@
       return std::nullopt;
     }
     previous.push_back(UsedResourcesOf(aWorkers[*best]));
-    TakeResources(aWorkers[*best], need, CrashesOf(aUnit, task));
+    TakeResources(aWorkers[*best], aUnit, task);
     ++stepTasks[*best];
     assignment.push_back(*best);
   }
@@ -164,12 +190,14 @@
   return std::nullopt;
 }
 
-/** Returns the views with all resources free. */
+/** Returns the views as they are without any run. */
 std::vector<WorkerView>
 WithoutLoad(std::vector<WorkerView> aWorkers)
 {
   for (WorkerView& worker : aWorkers) {
     worker.mFree = worker.mCapacity;
+    worker.mRunCount = 0;
+    worker.mCrashSuspects.clear();
   }
   return aWorkers;
 }
@@ -308,7 +336,7 @@
     Stops bestStops;
     for (std::size_t i = 0; i < scratch.size(); ++i) {
       if (!IsBelowStepLimit(aUnit, stepTasks, indices[i]) ||
-          !MayShareWorker(CrashesOf(aUnit, task), scratch[i])) {
+          !MayShareWorker(aUnit, task, scratch[i])) {
         continue;
       }
       auto found = CheapestStops(scratch[i], need, aBelow, aReclaims);
@@ -328,7 +356,7 @@
     }
     ReleaseResources(scratch, newStops);
     stops.insert(newStops.begin(), newStops.end());
-    TakeResources(scratch[*best], need, CrashesOf(aUnit, task));
+    TakeResources(scratch[*best], aUnit, task);
     ++stepTasks[indices[*best]];
     result.mPlan.mWorkers.push_back(indices[*best]);
   }
@@ -345,12 +373,51 @@
 }
 
 bool
-MayShareWorker(std::size_t aCrashes, const WorkerView& aWorker)
+MayShareWorker(const PlacementUnit& aUnit,
+               std::size_t aTask,
+               const WorkerView& aWorker)
 {
-  if (aCrashes >= kCrashesBeforeIsolation) {
-    return aWorker.mRunCount == 0;
+  if (aUnit.mIgnoresCrashes) {
+    return true;
+  }
+  const std::size_t worst = WorstOtherSuspect(aUnit, aWorker);
+  if (worst >= kCrashesBeforeIsolation) {
+    return false;
+  }
+  const std::size_t crashes = CrashesOf(aUnit, aTask);
+  if (crashes < kCrashesBeforeIsolation) {
+    return crashes == 0 || worst == 0;
   }
-  return aCrashes == 0 || aWorker.mCrashSuspects == 0;
+  const auto own = static_cast<std::size_t>(
+    std::count_if(aWorker.mCrashSuspects.begin(),
+                  aWorker.mCrashSuspects.end(),
+                  [&](const CrashSuspect& aSuspect) {
+                    return aSuspect.mWorkload == aUnit.mTasks.front().mWorkload;
+                  }));
+  return aWorker.mRunCount == own;
+}
+
+bool
+MayIgnoreCrashes(const PlacementUnit& aUnit,
+                 const std::vector<WorkerView>& aWorkers,
+                 const PlacementOptions& aOptions)
+{
+  if (aUnit.mWaitedMs < aOptions.mIdleCrashWaitMs) {
+    return false;
+  }
+  const bool isKeptApart =
+    !aUnit.mCrashes.empty() ||
+    std::any_of(
+      aWorkers.begin(), aWorkers.end(), [&](const WorkerView& aWorker) {
+        return WorstOtherSuspect(aUnit, aWorker) >= kCrashesBeforeIsolation;
+      });
+  if (!isKeptApart) {
+    return false;
+  }
+  PlacementUnit unit = aUnit;
+  unit.mIgnoresCrashes = true;
+  return aUnit.mWaitedMs >= aOptions.mMaxCrashWaitMs ||
+         IsPoolIdleFor(unit, aWorkers);
 }
 
 bool
@@ -496,10 +563,8 @@
   }
   const auto& stops = best->mPlan.mStops;
   ReleaseResources(aWorkers, { stops.begin(), stops.end() });
-  const ResourceVector need = ResourcesOf(*aUnit.mStep);
   for (std::size_t task = 0; task < best->mPlan.mWorkers.size(); ++task) {
-    TakeResources(
-      aWorkers[best->mPlan.mWorkers[task]], need, CrashesOf(aUnit, task));
+    TakeResources(aWorkers[best->mPlan.mWorkers[task]], aUnit, task);
   }
   return std::move(best->mPlan);
 }
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -65,6 +65,13 @@
   ResourceVector mResources;
 };
 
+/** A run of a task during which a target has crashed before. */
+struct CrashSuspect
+{
+  WorkloadId mWorkload;
+  std::size_t mCrashes = 0;
+};
+
 /** State of one worker as placement needs it. */
 struct WorkerView
 {
@@ -79,8 +86,7 @@
   bool mUsable = true;
   bool mSuspect = false;     ///< its newest runs failed or stalled
   std::size_t mRunCount = 0; ///< open or unexpected runs
-  /** Runs of tasks during which a target has crashed before. */
-  std::size_t mCrashSuspects = 0;
+  std::vector<CrashSuspect> mCrashSuspects;
   std::vector<Victim> mVictims;
   std::vector<ExpectedRelease> mReleases; ///< of all runs, the earliest first
   bool mIsHeld = false;      ///< part of it is reserved for a waiting unit
@@ -102,6 +108,9 @@
   base::Duration mExpectedRunTime = base::Duration::max(); ///< of each task
   /** For each task, the crashes of targets during its runs; empty: none. */
   std::vector<std::size_t> mCrashes;
+  /** Whether it has waited too long to be kept apart from suspects of crashes,
+   * see MayIgnoreCrashes. */
+  bool mIgnoresCrashes = false;
   /** Targets on which a task of the unit failed before. */
   std::set<TargetIncarnation> mAvoid;
   /** Racks on which tasks of the same step run already. */
@@ -128,6 +137,11 @@
   std::int64_t mIdleLocalityWaitMs = 2000;
   /** Longest wait for a preferred rack. */
   std::int64_t mMaxLocalityWaitMs = 20000;
+  /** Longest wait to be kept apart from suspects of crashes while much of the
+   * pool is idle; the platform allows 3000 ms. */
+  std::int64_t mIdleCrashWaitMs = 2000;
+  /** Longest wait to be kept apart from suspects of crashes. */
+  std::int64_t mMaxCrashWaitMs = 20000;
 };
 
 /** A task that has seen this many crashes is run alone, so that it takes no
@@ -137,11 +151,22 @@
 /** Returns the number of crashes of targets during runs of a task of aUnit. */
 std::size_t
 CrashesOf(const PlacementUnit& aUnit, std::size_t aTask);
-/** Returns whether the worker may run a task with that many crashes beside its
- * present runs: one at which a target crashed runs beside no other such task,
- * so that the next crash tells them apart. */
+/** Returns whether the worker may run a task of aUnit beside its present runs:
+ * a task at which a target has crashed runs beside no such task of another
+ * workload, so that the next crash tells them apart, and after
+ * kCrashesBeforeIsolation crashes beside no run of another workload. Tasks of
+ * one workload are not kept apart, since it fails as a whole. */
 bool
-MayShareWorker(std::size_t aCrashes, const WorkerView& aWorker);
+MayShareWorker(const PlacementUnit& aUnit,
+               std::size_t aTask,
+               const WorkerView& aWorker);
+/** Returns whether the unit, which has not been placed, may be placed without
+ * regard to MayShareWorker: crashes delay a task, but do not keep it from
+ * running while there is room. */
+bool
+MayIgnoreCrashes(const PlacementUnit& aUnit,
+                 const std::vector<WorkerView>& aWorkers,
+                 const PlacementOptions& aOptions);
 
 /** Returns whether the worker may run tasks of the unit at all. */
 bool
--- a/dogwooddrum/coordination/workloads/Reservations.cpp
+++ b/dogwooddrum/coordination/workloads/Reservations.cpp
@@ -61,8 +61,6 @@
     ResourceVector mNeed; ///< of the unit's tasks here and one more
     std::uint32_t mStepTasks = 0;
     std::optional<base::Duration> mFreeIn;
-    std::size_t mTasks = 0; ///< of the unit, already planned here
-    bool mIsTaken = false;  ///< by a task that runs alone
   };
   std::vector<Candidate> candidates;
   for (std::size_t i = 0; i < aWorkers.size(); ++i) {
@@ -78,14 +76,15 @@
   std::size_t ready = 0;
   for (std::size_t task = 0; task < aUnit.mTasks.size(); ++task) {
     const std::size_t crashes = CrashesOf(aUnit, task);
-    const bool runsAlone = crashes >= kCrashesBeforeIsolation;
+    const bool runsAlone =
+      crashes >= kCrashesBeforeIsolation && !aUnit.mIgnoresCrashes;
     Candidate* best = nullptr;
     std::optional<base::Duration> bestIn;
     for (Candidate& each : candidates) {
       const WorkerView& worker = aWorkers[each.mIndex];
-      if (each.mIsTaken || (runsAlone && each.mTasks > 0) ||
-          (limit != 0 && each.mStepTasks >= limit) ||
-          (!runsAlone && !MayShareWorker(crashes, worker))) {
+      if ((limit != 0 && each.mStepTasks >= limit) ||
+          (runsAlone ? !Fits(each.mNeed, worker.mCapacity)
+                     : !MayShareWorker(aUnit, task, worker))) {
         continue;
       }
       const auto in = runsAlone ? TimeUntilIdle(worker) : each.mFreeIn;
@@ -97,8 +96,6 @@
     if (best == nullptr) {
       return std::nullopt;
     }
-    best->mIsTaken = runsAlone;
-    ++best->mTasks;
     reservation.mWorkers.push_back(best->mIndex);
     reservation.mStartsIn = std::max(reservation.mStartsIn, *bestIn);
     ready += *bestIn == base::Duration::zero() ? 1 : 0;
@@ -139,12 +136,13 @@
   const ResourceVector need = ResourcesOf(*aUnit.mStep);
   for (std::size_t task = 0; task < aReservation.mWorkers.size(); ++task) {
     WorkerView& worker = aWorkers[aReservation.mWorkers[task]];
-    const bool runsAlone = CrashesOf(aUnit, task) >= kCrashesBeforeIsolation;
+    const bool runsAlone = CrashesOf(aUnit, task) >= kCrashesBeforeIsolation &&
+                           !aUnit.mIgnoresCrashes;
     worker.mHeldFor = worker.mIsHeld
                         ? std::min(worker.mHeldFor, aReservation.mStartsIn)
                         : aReservation.mStartsIn;
     worker.mIsHeld = true;
-    worker.mHeld = worker.mHeld + (runsAlone ? worker.mCapacity : need);
+    worker.mHeld = runsAlone ? worker.mCapacity : worker.mHeld + need;
   }
 }
 
--- a/dogwooddrum/coordination/workloads/WorkerViews.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -141,7 +141,6 @@
       }
     }
   }
-  std::vector<char> isolated(views.size(), 0);
   for (const auto& [run, open] : aLeader.mRuns) {
     const auto it = index.find(open.mTarget);
     if (it == index.end()) {
@@ -152,8 +151,9 @@
     ++view.mRunCount;
     const auto* task = aLeader.mState->Find(run.mTask);
     const auto crashes = task == nullptr ? 0 : task->mCrashedTargets.size();
-    view.mCrashSuspects += crashes > 0 ? 1 : 0;
-    isolated.at(it->second) |= crashes >= kCrashesBeforeIsolation;
+    if (crashes > 0) {
+      view.mCrashSuspects.push_back({ run.mTask.mWorkload, crashes });
+    }
     const bool isStopping = open.mStopping || open.mEnding;
     view.mReleases.push_back(
       { isStopping ? StopDelay(aLeader) : ExpectedTimeLeft(aLeader, run, open),
@@ -180,11 +180,6 @@
       view.mVictims.push_back(std::move(victim));
     }
   }
-  for (std::size_t i = 0; i < views.size(); ++i) {
-    if (isolated[i]) {
-      views[i].mFree = {};
-    }
-  }
   for (WorkerView& view : views) {
     std::sort(view.mReleases.begin(),
               view.mReleases.end(),
--- a/tests/error/CrashingTasks.cpp
+++ b/tests/error/CrashingTasks.cpp
@@ -110,6 +110,83 @@
   EXPECT_EQ(sim.Phase("deadly"), WorkloadPhase::Failed);
 }
 
+/** Submits a workload of tasks that run for aRunMs, and crashes the target of
+ * the first one once they run. */
+void
+CrashUnderWorkload(WorkloadSimulation& aSim,
+                   const std::string& aId,
+                   const protocol::WorkloadSpec& aSpec,
+                   std::int64_t aRunMs)
+{
+  aSim.SetRunTime(aId, aRunMs);
+  aSim.Submit(aId, "p1", aSpec);
+  aSim.RunFor(500);
+  ASSERT_FALSE(aSim.WorkersOf(aId).empty());
+  aSim.CrashTarget(*aSim.WorkersOf(aId).begin(), 3000, false);
+}
+
+// A gang with more members than there are targets was never started again after
+// one crash, as no two of its members were to share a target.
+TEST(CrashingTasksRestart, GangLargerThanThePoolRestartsAfterACrash)
+{
+  for (const int crashes : { 1, 2 }) {
+    WorkloadSimulation sim(EightWorkers(false));
+    sim.RunFor(500);
+    CrashUnderWorkload(sim, "gang", OneStepSpec(12, 5000, 0, true), 6000);
+    sim.RunFor(4000);
+    if (crashes == 2) {
+      sim.CrashTarget(*sim.WorkersOf("gang").begin(), 3000, false);
+    }
+    sim.RunFor(12000);
+    EXPECT_EQ(sim.Phase("gang"), WorkloadPhase::Complete)
+      << crashes << " crashes";
+    EXPECT_TRUE(sim.Violations().empty());
+  }
+}
+
+// After one crash, tasks of other workloads that run for long held one target
+// each, and the last one of them waited for ever.
+TEST(CrashingTasksRestart, MoreSuspectsThanTargetsAllRun)
+{
+  auto options = EightWorkers(false);
+  options.mWorkers = 3;
+  WorkloadSimulation sim(options);
+  sim.RunFor(500);
+  const std::vector<std::string> ids{ "a", "b", "c", "d" };
+  for (const auto& id : ids) {
+    sim.SetRunTime(id, 100000);
+    sim.Submit(id, "p1", OneStepSpec(1, 1000, 1, false));
+  }
+  sim.RunFor(500);
+  ASSERT_EQ(sim.WorkersOf("a"), sim.WorkersOf("d"));
+  for (int crash = 0; crash < 2; ++crash) {
+    sim.CrashTarget(*sim.WorkersOf("a").begin(), 3000, false);
+    sim.RunFor(6000);
+    for (const auto& id : ids) {
+      EXPECT_GE(sim.StartCount(id), 2) << id;
+    }
+  }
+}
+
+// Workers on which a task ran alone after two crashes took no other work.
+TEST(CrashingTasksRestart, OtherWorkRunsBesideTasksThatRunAlone)
+{
+  auto options = EightWorkers(false);
+  options.mWorkers = 1;
+  WorkloadSimulation sim(options);
+  sim.RunFor(500);
+  sim.SetRunTime("long", 100000);
+  sim.Submit("long", "p1", OneStepSpec(1, 1000, 1, false));
+  for (int crash = 0; crash < 2; ++crash) {
+    sim.RunFor(1000);
+    sim.CrashTarget(0, 500, false);
+  }
+  sim.RunFor(3000);
+  sim.Submit("other", "p2", OneStepSpec(1, 1000, 1, false));
+  sim.RunFor(4500);
+  EXPECT_EQ(sim.Phase("other"), WorkloadPhase::Complete);
+}
+
 // A crash of a VM, a planned end or a lost link is not the fault of a task.
 TEST(CrashingTasksOfOtherCauses, PowerLossesAndPlannedEndsAreNotCounted)
 {
