--- a/dogwooddrum/daemon/ControlCore.cpp
+++ b/dogwooddrum/daemon/ControlCore.cpp
@@ -58,6 +58,7 @@
     , mCoordinator(aOptions.mCoordinator)
     , mReplica(aOptions.mCoordinator)
     , mLog(std::move(aStorage), MakeLogEvents())
+    , mSnapshotTrigger(aOptions.mSnapshots)
     , mSnapshotLoop(kSnapshotLoopTick, { [](base::Time) {}, [] {} })
   {
     mStatus.mStorageFailed = false;
@@ -149,6 +150,7 @@
                           "received snapshot cannot be decoded");
     SetApplied(aSnapshot.mIndex);
     mSnapshotIndex = aSnapshot.mIndex;
+    mSnapshotTrigger.Reset();
     service::Log(LogEvent::SnapshotInstalled,
                  { { "index", aSnapshot.mIndex.Value() } });
     mSnapshotLoop.Post(
@@ -163,6 +165,7 @@
     }
     SetApplied(aEntries.back().mIndex);
     mAppliedTerm = aEntries.back().mTerm;
+    mSnapshotTrigger.OnApplied(aEntries);
     mSnapshotLoop.Post([this, entries = std::move(aEntries), now] {
       for (const auto& entry : entries) {
         mReplica.Apply(entry, now);
@@ -173,15 +176,15 @@
   }
 
   /** Saves the replica's state on the snapshot thread, so that saving does not
-   * delay decisions. Does nothing before enough entries are applied. */
+   * delay decisions. Does nothing before enough is applied. */
   void StartSnapshot()
   {
     if (mSnapshotInProgress || mStatus.mStorageFailed ||
-        mAppliedIndex.Value() - mSnapshotIndex.Value() <
-          mOptions.mSnapshotEntries) {
+        !mSnapshotTrigger.IsDue()) {
       return;
     }
     mSnapshotInProgress = true;
+    mSnapshotTrigger.Reset();
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->mIndex = mAppliedIndex;
     snapshot->mTerm = mAppliedTerm;
@@ -469,6 +472,7 @@
    * only. */
   Coordinator mReplica;
   StorageThread mLog;
+  state::SnapshotTrigger mSnapshotTrigger;
   EventLoop mSnapshotLoop;
   base::LogIndex mAppliedIndex;
   base::Term mAppliedTerm;
--- a/dogwooddrum/daemon/ControlCore.h
+++ b/dogwooddrum/daemon/ControlCore.h
@@ -9,6 +9,7 @@
 #include "dogwooddrum/coordination/control/Coordinator.h"
 #include "dogwooddrum/daemon/EventLoop.h"
 #include "dogwooddrum/daemon/StorageThread.h"
+#include "dogwooddrum/state/SnapshotTrigger.h"
 
 #include <atomic>
 #include <functional>
@@ -20,7 +21,7 @@
 {
   coordination::consensus::RaftOptions mRaft;
   coordination::control::CoordinatorOptions mCoordinator;
-  std::uint64_t mSnapshotEntries = 20000;
+  state::SnapshotLimits mSnapshots;
   /** If set, lost members are replaced without an operator. */
   std::optional<coordination::consensus::GroupRepairOptions> mRepair;
 };
--- a/dogwooddrum/daemon/ControlCoreSettings.cpp
+++ b/dogwooddrum/daemon/ControlCoreSettings.cpp
@@ -9,7 +9,9 @@
 {
   std::random_device device;
   ControlCoreOptions options;
-  options.mSnapshotEntries = aSettings.mSnapshotEntries;
+  options.mSnapshots.mEntries = aSettings.mSnapshotEntries;
+  options.mSnapshots.mBytes =
+    static_cast<std::uint64_t>(aSettings.mSnapshotLogMb) << 20;
   options.mRaft.mSelf = aSettings.mMemberId;
   options.mRaft.mSeed = device();
   auto& coordinator = options.mCoordinator;
--- a/dogwooddrum/daemon/StorageThread.cpp
+++ b/dogwooddrum/daemon/StorageThread.cpp
@@ -6,6 +6,14 @@
 
 namespace dogwooddrum::daemon {
 
+namespace {
+
+/** Log writes that may be done before a waiting snapshot. Without a limit the
+ * log would grow for as long as writes keep coming. */
+constexpr int kMaxWritesBeforeSnapshot = 8;
+
+} // namespace
+
 StorageThread::StorageThread(std::unique_ptr<state::Storage> aStorage,
                              StorageThreadEvents aEvents)
   : mStorage(std::move(aStorage))
@@ -61,6 +69,7 @@
 StorageThread::Run()
 {
   bool succeeded = true;
+  int writesBeforeSnapshot = 0;
   while (succeeded) {
     Work work;
     SnapshotPtr snapshot;
@@ -71,11 +80,15 @@
       if (mStopped) {
         return;
       }
-      work.swap(mWork);
       // The log is written first: commits wait for its sync, not for a
       // snapshot.
-      if (work.empty()) {
+      if (mSnapshot &&
+          (mWork.empty() || writesBeforeSnapshot >= kMaxWritesBeforeSnapshot)) {
         snapshot.swap(mSnapshot);
+        writesBeforeSnapshot = 0;
+      } else {
+        work.swap(mWork);
+        writesBeforeSnapshot += mSnapshot ? 1 : 0;
       }
     }
     succeeded = snapshot ? WriteSnapshot(*snapshot) : WriteWork(work);
--- a/dogwooddrum/service/Settings.h
+++ b/dogwooddrum/service/Settings.h
@@ -97,6 +97,7 @@
   std::vector<Peer> mPeers; ///< in the order of the file, with this member
   std::string mDataFolder;
   std::uint32_t mSnapshotEntries = 0;
+  std::uint32_t mSnapshotLogMb = 0;
   std::uint32_t mMaxQueuedJobs = 0;
   std::uint32_t mMaxStoredAnswerMb = 0;
   base::Duration mAnswerRetention{};
--- a/dogwooddrum/state/Storage.cpp
+++ b/dogwooddrum/state/Storage.cpp
@@ -118,7 +118,14 @@
     if (mSegments.empty()) {
       return StartSegment(1);
     }
-    auto done = RewriteNewestSegment();
+    // The snapshot has to be durable before segments that it covers are gone.
+    auto done = mFiles.SyncFolder(mOptions.mFolder);
+    if (done) {
+      done = RemoveCoveredSegments();
+    }
+    if (done) {
+      done = RewriteNewestSegment();
+    }
     if (done) {
       done = mFiles.SyncFolder(mOptions.mFolder);
     }
@@ -210,7 +217,11 @@
     if (done) {
       done = (*copy)->Sync();
     }
-    return done ? mFiles.Rename(temporary, path) : done;
+    if (!done) {
+      mFiles.Remove(temporary); // a part of the copy would take up the room
+      return done;
+    }
+    return mFiles.Rename(temporary, path);
   }
 
   base::Outcome<bool> OpenSegment()
--- a/dogwooddrum/state/Storage.h
+++ b/dogwooddrum/state/Storage.h
@@ -26,8 +26,10 @@
    * member acknowledged, if it voted again under its old id.
    */
   bool mIsExistingMember = false;
-  /** Once a segment has this size, the next block starts a new segment. */
-  std::uint64_t mSegmentBytes = 16ULL << 20;
+  /** Once a segment has this size, the next block starts a new segment. A start
+   * needs room for a copy of the newest segment, and a snapshot frees whole
+   * segments only. */
+  std::uint64_t mSegmentBytes = 4ULL << 20;
 };
 
 /**
@@ -70,7 +72,8 @@
    * StorageFailed if the folder belongs to another member, is empty although
    * mIsExistingMember is set, or cannot be read, and with CorruptLog, naming
    * file and offset, if a block in the middle of the log is damaged. A torn
-   * tail is truncated. aFiles must outlive the result.
+   * tail is truncated, and segments that the snapshot covers are removed, which
+   * frees the room that Open needs. aFiles must outlive the result.
    */
   static base::Outcome<std::unique_ptr<Storage>> Open(
     FileSystem& aFiles,
--- a/tests/support/FakeFileSystem.cpp
+++ b/tests/support/FakeFileSystem.cpp
@@ -36,6 +36,11 @@
   }
   base::Outcome<bool> Append(std::string_view aBytes) override
   {
+    if (mFiles.UsedBytes() + aBytes.size() > mFiles.mCapacityBytes) {
+      const auto used = mFiles.UsedBytes();
+      mFile->mBytes += aBytes.substr(0, mFiles.mCapacityBytes - used);
+      return StorageFailure(mPath, "no space left on device");
+    }
     auto done = mFiles.FailOrCountChange(mPath);
     // A full disk and a process that ends leave half of the bytes.
     if (done || mFiles.mFull || mFiles.mRemainingChanges == 0) {
@@ -95,6 +100,16 @@
 
 } // namespace
 
+std::uint64_t
+FakeFileSystem::UsedBytes() const
+{
+  std::uint64_t bytes = 0;
+  for (const auto& [path, file] : mFiles) {
+    bytes += file->mBytes.size();
+  }
+  return bytes;
+}
+
 base::Outcome<bool>
 FakeFileSystem::FailOrCountChange(const std::string& aPath)
 {
--- a/tests/support/FakeFileSystem.h
+++ b/tests/support/FakeFileSystem.h
@@ -71,11 +71,16 @@
   std::size_t UnsyncedChanges() const { return mUnsyncedChanges.size(); }
   /** Replaces the disk by an empty one. */
   void Erase();
+  /** Returns the sum of the sizes of all files. */
+  std::uint64_t UsedBytes() const;
   /** Counts one change, or fails if an injected fault forbids changes. */
   base::Outcome<bool> FailOrCountChange(const std::string& aPath);
 
   Folder mFiles; ///< by full path
   bool mFull = false;
+  /** Appends that would make the sum of all files larger fail as on a full
+   * disk. */
+  std::uint64_t mCapacityBytes = std::numeric_limits<std::uint64_t>::max();
   bool mReadOnly = false;
   bool mFailsNextSync = false; ///< an I/O error, reported once
   bool mSkipsSyncs = false; ///< injected fault: reports success without a sync
