--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -23,8 +23,9 @@
 /** A target that has neither been listed nor announced itself for this long is
  * silent; longer than the interval of announcements. */
 constexpr base::Duration kSilence = base::Milliseconds(2000);
-/** First step of a fencing token that was rejected; tokens count ms. */
+/** Steps of a fencing token that was rejected; tokens count ms. */
 constexpr std::uint64_t kFirstTokenStep = 1000;
+constexpr std::uint64_t kMaxTokenStep = 24ULL * 3600 * 1000;
 /** By how much the lease of a target may outlast the agent's view of it, as the
  * target's clock may be slow. */
 constexpr base::Duration kLeaseSlack = base::Milliseconds(500);
@@ -223,7 +224,8 @@
   if (aRejected != mFencingToken) {
     return; // raised since
   }
-  mTokenStep = std::max(kFirstTokenStep, 2 * mTokenStep);
+  mTokenStep =
+    std::min(kMaxTokenStep, std::max(kFirstTokenStep, 2 * mTokenStep));
   mFencingToken = protocol::FencingToken(mFencingToken.Value() + mTokenStep);
 }
 
