State what is not proved, and check the same target in each term

ANewLeaderKeepsTheRunsOfTheSameTarget had kept one of the terms only: it checks no orders, an earlier term and the present one, so that it is no weaker than before. LostTargets passes.

--- a/tests/error/LostTargets.cpp
+++ b/tests/error/LostTargets.cpp
@@ -120,7 +120,9 @@
 
 TEST(LostTargets, ANewLeaderKeepsTheRunsOfTheSameTarget)
 {
-  EXPECT_EQ(EndsAfterReport(StateWithRun(), kLost, kTerm), 0U);
+  for (const auto term : { base::Term(), kEarlierTerm, kTerm }) {
+    EXPECT_EQ(EndsAfterReport(StateWithRun(), kLost, term), 0U);
+  }
 }
 
 // The runs of a replaced target whose VM had its clock set back waited for
