Share the times and target descriptions of agent tests

Eight test files had the same At, TargetInfoOf and first run. UnprovenTargets states its common beginning once.

--- a/tests/correctness/RunEndProof.cpp
+++ b/tests/correctness/RunEndProof.cpp
@@ -5,6 +5,7 @@
 #include "dogwooddrum/coordination/workloads/WorkerAgent.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
 #include "dogwooddrum/service/LogEvents.h"
+#include "tests/support/TargetMessages.h"
 
 #include <gtest/gtest.h>
 
@@ -17,16 +18,10 @@
 
 const TargetIncarnation kFirst{ "i-1", 1000 };
 const TargetIncarnation kSecond{ "i-2", 2000 };
-const RunId kRun{ { WorkloadId("a"), 0, 0, 0 }, RunNumber(1) };
+const protocol::RunId kRun = FirstRunOfA();
 
 using Fields = std::map<std::string, std::string>;
 
-base::Time
-At(std::int64_t aMs)
-{
-  return base::Time(base::Milliseconds(aMs));
-}
-
 /** A leader of term 3 whose state holds one run on kFirst. */
 class Leader
 {
--- a/tests/error/DelayedAnnouncements.cpp
+++ b/tests/error/DelayedAnnouncements.cpp
@@ -2,6 +2,7 @@
 // the clock of its VM was set back: start times do not show the order then.
 #include "dogwooddrum/coordination/workloads/WorkerAgent.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
+#include "tests/support/TargetMessages.h"
 
 #include <gtest/gtest.h>
 
@@ -12,23 +13,7 @@
 
 const TargetIncarnation kEarlier{ "i-earlier", 5000 };
 const TargetIncarnation kPresent{ "i-present", 3000 };
-const protocol::RunId kRun{ { protocol::WorkloadId("a"), 0, 0, 0 },
-                            protocol::RunNumber(1) };
-
-base::Time
-At(std::int64_t aMs)
-{
-  return base::Time(base::Milliseconds(aMs));
-}
-
-protocol::TargetInfo
-TargetInfoOf(const TargetIncarnation& aTargetIncarnation)
-{
-  protocol::TargetInfo info;
-  info.mTargetIncarnation = aTargetIncarnation;
-  info.mPool = protocol::PoolName("pool");
-  return info;
-}
+const protocol::RunId kRun = FirstRunOfA();
 
 // An agent that had restarted took a late announcement of an earlier target for
 // its next one, and the leader gave up the runs of the present target, which
--- a/tests/error/DelayedStarts.cpp
+++ b/tests/error/DelayedStarts.cpp
@@ -3,6 +3,7 @@
 // resources.
 #include "dogwooddrum/coordination/workloads/WorkerAgent.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
+#include "tests/support/TargetMessages.h"
 
 #include <gtest/gtest.h>
 
@@ -17,24 +18,9 @@
 const TargetIncarnation kEarlier{ "i-1", 1000 };
 const TargetIncarnation kPresent{ "i-1", 2000 };
 const TargetIncarnation kOther{ "i-2", 1000 };
+const protocol::Resources kCapacity{ 4000, 4000, 0 };
 const protocol::TaskId kTask{ protocol::WorkloadId("a"), 0, 0, 0 };
 
-base::Time
-At(std::int64_t aMs)
-{
-  return base::Time(base::Milliseconds(aMs));
-}
-
-protocol::TargetInfo
-TargetInfoOf(const TargetIncarnation& aTargetIncarnation)
-{
-  protocol::TargetInfo info;
-  info.mTargetIncarnation = aTargetIncarnation;
-  info.mPool = protocol::PoolName("pool");
-  info.mCapacity = { 4000, 4000, 0 };
-  return info;
-}
-
 protocol::WorkerReport
 ReportOf(const TargetIncarnation& aTargetIncarnation,
          const std::vector<protocol::RunId>& aRunning)
@@ -43,7 +29,7 @@
   report.mAgent = base::Incarnation(aTargetIncarnation.mInstance.back());
   report.mAgentName = "agent of " + aTargetIncarnation.mInstance;
   report.mSequence = 1;
-  report.mTarget = TargetInfoOf(aTargetIncarnation);
+  report.mTarget = TargetInfoOf(aTargetIncarnation, kCapacity);
   report.mHasRunLists = true;
   for (const auto& run : aRunning) {
     report.mRunning.push_back({ run, "", 50 });
@@ -171,7 +157,7 @@
 TEST(DelayedStarts, AgentFencesANewIncarnationBeforeTheFirstOrder)
 {
   WorkerAgent agent({});
-  agent.OnAnnounced(TargetInfoOf(kPresent), 1, base::Time());
+  agent.OnAnnounced(TargetInfoOf(kPresent, kCapacity), 1, base::Time());
   const auto renewal = agent.NextRenewal(At(10));
   ASSERT_TRUE(renewal);
   EXPECT_GT(renewal->mFencingToken.Value(),
--- a/tests/error/ExpiredLeases.cpp
+++ b/tests/error/ExpiredLeases.cpp
@@ -3,6 +3,7 @@
 // the end of its lease.
 #include "dogwooddrum/coordination/workloads/WorkerAgent.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
+#include "tests/support/TargetMessages.h"
 
 #include <gtest/gtest.h>
 
@@ -12,14 +13,7 @@
 using namespace coordination::workloads;
 
 const TargetIncarnation kTargetIncarnation{ "i-1", 1000 };
-const protocol::RunId kRun{ { protocol::WorkloadId("a"), 0, 0, 0 },
-                            protocol::RunNumber(1) };
-
-base::Time
-At(std::int64_t aMs)
-{
-  return base::Time(base::Milliseconds(aMs));
-}
+const protocol::RunId kRun = FirstRunOfA();
 
 protocol::TargetInfo
 MakeTargetInfo()
--- a/tests/error/ListedEnds.cpp
+++ b/tests/error/ListedEnds.cpp
@@ -2,6 +2,7 @@
 // is limited, and an end is acknowledged only after it is committed.
 #include "dogwooddrum/coordination/workloads/WorkerAgent.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
+#include "tests/support/TargetMessages.h"
 
 #include <gtest/gtest.h>
 
@@ -13,14 +14,7 @@
 using namespace coordination::workloads;
 
 const TargetIncarnation kTarget{ "i-1", 1000 };
-const protocol::RunId kRun{ { protocol::WorkloadId("a"), 0, 0, 0 },
-                            protocol::RunNumber(1) };
-
-base::Time
-At(std::int64_t aMs)
-{
-  return base::Time(base::Milliseconds(aMs));
-}
+const protocol::RunId kRun = FirstRunOfA();
 
 protocol::EndedTask
 EndOf(const protocol::RunId& aRun, std::uint64_t aNumber)
--- a/tests/error/LostTargets.cpp
+++ b/tests/error/LostTargets.cpp
@@ -4,6 +4,7 @@
 
 #include "dogwooddrum/base/Checksum.h"
 #include "dogwooddrum/coordination/jobs/JobState.h"
+#include "tests/support/TargetMessages.h"
 
 #include <gtest/gtest.h>
 
@@ -18,12 +19,6 @@
 const TargetIncarnation kSetBack{ "i-next", 1000 };
 const char* const kAgent = "agent";
 
-base::Time
-At(std::int64_t aMs)
-{
-  return base::Time(base::Milliseconds(aMs));
-}
-
 /** State with one workload whose only task runs on kLost. */
 State
 StateWithRun()
--- a/tests/error/UnprovenTargets.cpp
+++ b/tests/error/UnprovenTargets.cpp
@@ -3,6 +3,7 @@
 // run of the target that the agent lists.
 #include "dogwooddrum/coordination/workloads/WorkerAgent.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
+#include "tests/support/TargetMessages.h"
 
 #include <gtest/gtest.h>
 
@@ -16,23 +17,7 @@
 const TargetIncarnation kRestarted{ "i-present", 5000 };
 const char* const kPresentAddress = "10.0.0.1:8080";
 const char* const kOtherAddress = "10.0.0.2:8080";
-const protocol::RunId kRun{ { protocol::WorkloadId("a"), 0, 0, 0 },
-                            protocol::RunNumber(1) };
-
-base::Time
-At(std::int64_t aMs)
-{
-  return base::Time(base::Milliseconds(aMs));
-}
-
-protocol::TargetInfo
-TargetInfoOf(const TargetIncarnation& aTargetIncarnation)
-{
-  protocol::TargetInfo info;
-  info.mTargetIncarnation = aTargetIncarnation;
-  info.mPool = protocol::PoolName("pool");
-  return info;
-}
+const protocol::RunId kRun = FirstRunOfA();
 
 /** A leader whose state holds one run on kPresent, and its agent. */
 class UnprovenTargets : public testing::Test
@@ -66,6 +51,15 @@
     mAgent.OnAnnounced(TargetInfoOf(aTarget), ++mSequence, At(aMs), aAddress);
   }
 
+  /** Makes kPresent known to the agent and the leader, which grants a lease of
+   * 6 s from 110 ms on. */
+  void StartPresent()
+  {
+    Announce(kPresent, kPresentAddress, 0);
+    List(kPresent, 100);
+    EXPECT_EQ(EndsAfterReport(110), 0U);
+  }
+
   void List(const TargetIncarnation& aTarget, std::int64_t aMs)
   {
     mAgent.OnListing(
@@ -113,9 +107,7 @@
 // and the leader started its runs elsewhere while they worked on.
 TEST_F(UnprovenTargets, TargetThatDoesNotAnswerReplacesNone)
 {
-  Announce(kPresent, kPresentAddress, 0);
-  List(kPresent, 100);
-  EXPECT_EQ(EndsAfterReport(110), 0U);
+  StartPresent();
   Announce(kOther, kOtherAddress, 200);
   for (std::int64_t ms = 300; ms < 20000; ms += 400) {
     List(kPresent, ms);
@@ -144,9 +136,7 @@
 // A heartbeat that came while the agent's list was late ended the runs.
 TEST_F(UnprovenTargets, SilentTargetKeepsItsRunsUntilItsLeaseEnds)
 {
-  Announce(kPresent, kPresentAddress, 0);
-  List(kPresent, 100);
-  EndsAfterReport(110); // grants a lease of 6 s
+  StartPresent();
   for (std::int64_t ms = 1600; ms < 6000; ms += 1500) {
     Announce(kOther, kOtherAddress, ms);
     if (mAgent.NextProbe(At(ms))) {
@@ -158,9 +148,7 @@
 
 TEST_F(UnprovenTargets, TargetThatAnswersAtTheSameAddressReplacesThePresentOne)
 {
-  Announce(kPresent, kPresentAddress, 0);
-  List(kPresent, 100);
-  EndsAfterReport(110);
+  StartPresent();
   Announce(kOther, kPresentAddress, 200);
   EXPECT_TRUE(Probe(kOther, 201));
   EXPECT_EQ(mAgent.Target()->mTargetIncarnation, kOther);
@@ -169,9 +157,7 @@
 
 TEST_F(UnprovenTargets, TargetElsewhereReplacesOneThatRefusesConnections)
 {
-  Announce(kPresent, kPresentAddress, 0);
-  List(kPresent, 100);
-  EndsAfterReport(110);
+  StartPresent();
   Announce(kOther, kOtherAddress, 200);
   EXPECT_FALSE(Probe(kOther, 201));
   EXPECT_FALSE(mAgent.OnConnectionRefused(kPresent, At(300)));
@@ -182,9 +168,7 @@
 // The runs may have been started again under the id, so that they are stopped.
 TEST_F(UnprovenTargets, TargetThatRestartedUnderItsIdStopsTheRuns)
 {
-  Announce(kPresent, kPresentAddress, 0);
-  List(kPresent, 100);
-  EndsAfterReport(110);
+  StartPresent();
   mSequence = 0;
   Announce(kRestarted, kPresentAddress, 200);
   EXPECT_TRUE(Probe(kRestarted, 201));
--- a/tests/error/WorkerAgentReports.cpp
+++ b/tests/error/WorkerAgentReports.cpp
@@ -2,6 +2,7 @@
 // must be reported at once, also after the target has left.
 #include "dogwooddrum/coordination/workloads/WorkerAgent.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
+#include "tests/support/TargetMessages.h"
 
 #include <gtest/gtest.h>
 
@@ -11,14 +12,7 @@
 using namespace coordination::workloads;
 
 const protocol::TargetIncarnation kTargetIncarnation{ "i-1", 1000 };
-const protocol::RunId kRun{ { protocol::WorkloadId("a"), 0, 0, 0 },
-                            protocol::RunNumber(1) };
-
-base::Time
-At(std::int64_t aMs)
-{
-  return base::Time(base::Milliseconds(aMs));
-}
+const protocol::RunId kRun = FirstRunOfA();
 
 WorkerAgent
 MakeAgent()
