Take back the separation of deciding and replacing

The functions WorkerAgent::ReplaceBy and ProbeNextTarget, which do two things each, are left for the next change there.

--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -245,31 +245,36 @@
 bool
 WorkerAgent::ReplaceByAnyCandidate(base::Time aNow)
 {
-  const bool isSilent = IsSilent(aNow);
-  for (const Candidate& each : mCandidates) {
-    const bool hasEnded = ShowsEndOfTarget(each);
-    if (hasEnded || isSilent) {
-      const Candidate next = each; // ResetTarget clears mCandidates
-      if (hasEnded) {
-        // Without an announcement before, the target has crashed.
-        RecordEnd(!mTarget->mLeaving && !mLeaveMessageAt);
-      }
-      ResetTarget();
-      SetTarget(next);
-      return true;
-    }
-  }
-  return false;
+  const auto candidates = mCandidates; // ReplaceBy clears mCandidates
+  return std::any_of(
+    candidates.begin(), candidates.end(), [&](const Candidate& aEach) {
+      return ReplaceBy(aEach, aNow);
+    });
 }
 
-/** Returns whether the candidate shows that the present target has ended. */
+/** Replaces the present target if it has ended or is silent. */
 bool
-WorkerAgent::ShowsEndOfTarget(const Candidate& aCandidate) const
+WorkerAgent::ReplaceBy(const Candidate& aCandidate, base::Time aNow)
 {
-  const auto& instance = aCandidate.mTargetInfo.mTargetIncarnation.mInstance;
-  const bool isSamePlace = aCandidate.mAddress == mAddress ||
-                           instance == mTarget->mTargetIncarnation.mInstance;
-  return aCandidate.mHasAnswered && (isSamePlace || HasRefusedConnections());
+  if (!mTarget) {
+    return false;
+  }
+  const bool isSamePlace =
+    aCandidate.mAddress == mAddress ||
+    aCandidate.mTargetInfo.mTargetIncarnation.mInstance ==
+      mTarget->mTargetIncarnation.mInstance;
+  const bool hasEnded =
+    aCandidate.mHasAnswered && (isSamePlace || HasRefusedConnections());
+  if (!hasEnded && !IsSilent(aNow)) {
+    return false;
+  }
+  if (hasEnded) {
+    // Without an announcement before, the target has crashed.
+    RecordEnd(!mTarget->mLeaving && !mLeaveMessageAt);
+  }
+  ResetTarget();
+  SetTarget(aCandidate);
+  return true;
 }
 
 void
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -194,8 +194,8 @@
                      std::uint64_t aSequence,
                      base::Time aNow);
   void SetTarget(const Candidate& aCandidate);
+  bool ReplaceBy(const Candidate& aCandidate, base::Time aNow);
   bool ReplaceByAnyCandidate(base::Time aNow);
-  bool ShowsEndOfTarget(const Candidate& aCandidate) const;
   bool HasRefusedConnections() const;
   bool IsSilent(base::Time aNow) const;
   void RecordEnd(bool aHasCrashed);
--- a/dogwooddrum/daemon/WorkloadAgentHost.cpp
+++ b/dogwooddrum/daemon/WorkloadAgentHost.cpp
@@ -396,54 +396,45 @@
         return mAgent.HasCandidates() ? kProbePause : kIdlePause;
       }
     }
-    const auto outcome = CallProbedTarget(*probe);
-    const auto listing =
-      mProtocol.DecodeRunListing(outcome, probe->mTargetIncarnation);
-    if (!listing) {
-      service::Log(LogEvent::ListingFailed,
-                   { { "message", listing.LastFailure().mMessage } });
+    const auto& incarnation = probe->mTargetIncarnation;
+    const auto address = transport::ParseAddress(probe->mAddress);
+    bool hasAnswered = false;
+    bool isTokenRejected = false;
+    if (address) {
+      transport::HttpClientOptions options;
+      options.mIp = address->mHost;
+      options.mPort = address->mPort;
+      transport::HttpClient client(options);
+      LeaseRenewal call;
+      call.mFencingToken = probe->mFencingToken;
+      const auto outcome = client.Call(
+        mProtocol.EncodeLeaseRenewal(call, incarnation), kCallTimeout);
+      const auto listing = mProtocol.DecodeRunListing(outcome, incarnation);
+      hasAnswered = static_cast<bool>(listing);
+      isTokenRejected = IsTokenRejected(outcome);
+      if (!listing) {
+        service::Log(LogEvent::ListingFailed,
+                     { { "message", listing.LastFailure().mMessage } });
+      }
     }
     const std::lock_guard<std::mutex> lock(mMutex);
-    if (IsTokenRejected(outcome)) {
+    if (isTokenRejected) {
       mAgent.OnTokenRejected(probe->mFencingToken);
     }
     const auto before = PresentIncarnation();
-    if (mAgent.OnProbed(
-          probe->mTargetIncarnation, static_cast<bool>(listing), Now())) {
-      OnTargetReplaced(before);
+    if (mAgent.OnProbed(incarnation, hasAnswered, Now())) {
+      LogIfEnded(before, "probe", 0);
+      service::Log(
+        LogEvent::TargetAnnounced,
+        { { "target", mAgent.Target()->mTargetIncarnation.mInstance },
+          { "address", mAgent.TargetAddress() },
+          { "state", "answers" } });
+      CallPresentTarget();
+      SendReportLocked(Now());
     }
     return base::Duration::zero();
   }
 
-  transport::HttpOutcome CallProbedTarget(const TargetProbe& aProbe) const
-  {
-    const auto address = transport::ParseAddress(aProbe.mAddress);
-    if (!address) {
-      return address.LastFailure();
-    }
-    transport::HttpClientOptions options;
-    options.mIp = address->mHost;
-    options.mPort = address->mPort;
-    LeaseRenewal call;
-    call.mFencingToken = aProbe.mFencingToken;
-    return transport::HttpClient(options).Call(
-      mProtocol.EncodeLeaseRenewal(call, aProbe.mTargetIncarnation),
-      kCallTimeout);
-  }
-
-  /** Logs and reports that a probe has ended the incarnation aBefore.
-   * Precondition: mMutex is held. */
-  void OnTargetReplaced(const protocol::TargetIncarnation& aBefore)
-  {
-    LogIfEnded(aBefore, "probe", 0);
-    service::Log(LogEvent::TargetAnnounced,
-                 { { "target", mAgent.Target()->mTargetIncarnation.mInstance },
-                   { "address", mAgent.TargetAddress() },
-                   { "state", "answers" } });
-    CallPresentTarget();
-    SendReportLocked(Now());
-  }
-
   /** Logs that the agent ignores an announcement. Precondition: mMutex is
    * held. */
   void LogIfDropped(const Announcement& aAnnounced, base::Time aNow)
