Add the interfaces of the parts for hard load

Cause: five parts are built side by side (evacuations, worker speeds, client accounts, learned run times, clients outside the limits), and each would change the same messages and the replicated state.

Change: requests and a change for evacuations, a limit in time for starts in an agent's orders, observations that a leader publishes for the next one, the zone and slowness of a worker view, the account of a placement unit, and switches in the settings. Nothing uses them yet, so that no decision changes.

--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -77,8 +77,11 @@
 {
   TargetIncarnation mTargetIncarnation;
   protocol::PoolName mPool;
+  base::ZoneId mZone;
   base::RackId mRack;
   std::set<std::string> mLabels;
+  /** How much longer it takes for the same work than the median worker. */
+  double mSlowness = 1;
   ResourceVector mCapacity;
   ResourceVector mFree;
   ResourceVector
@@ -100,6 +103,7 @@
   std::vector<TaskId> mTasks;
   const WorkloadStep* mStep = nullptr;
   protocol::PoolName mPool;
+  base::AccountId mAccount;
   std::uint32_t mPriority = 0;
   bool mGuaranteed = false;  ///< within its client account's guarantee
   bool mMayReclaim = false;  ///< all urgent work of its account is guaranteed
--- a/dogwooddrum/coordination/workloads/Policies.h
+++ b/dogwooddrum/coordination/workloads/Policies.h
@@ -35,6 +35,14 @@
   /** Divides a pool between priorities that are not urgent; otherwise the more
    * urgent ones may use all of it. */
   bool mFairShares = true;
+  /** Places work by the observed speeds of the workers. */
+  bool mWorkerSpeeds = true;
+  /** Expects run times by the distribution of finished runs. */
+  bool mRunTimeDistributions = true;
+  /** Divides what a priority uses of a pool between client accounts. */
+  bool mAccountShares = true;
+  /** Refuses work at once that cannot end in time. */
+  bool mAdmission = true;
   /** Lets a new leader end the runs of targets that their VMs have replaced. */
   bool mTargetBindings = true;
 };
--- a/dogwooddrum/coordination/workloads/Requests.cpp
+++ b/dogwooddrum/coordination/workloads/Requests.cpp
@@ -143,6 +143,16 @@
     Reply(mLeader, mPending, std::move(reply));
   }
 
+  void operator()(const protocol::SetZoneEvacuation&) const
+  {
+    Reply(mLeader, mPending, WorkloadResult::Unknown);
+  }
+
+  void operator()(const protocol::ListEvacuations&) const
+  {
+    Reply(mLeader, mPending, WorkloadResult::Unknown);
+  }
+
   void operator()(const protocol::ReplaceCatalog& aRequest) const
   {
     const auto& catalog = aRequest.mCatalog;
--- a/dogwooddrum/coordination/workloads/State.cpp
+++ b/dogwooddrum/coordination/workloads/State.cpp
@@ -343,6 +343,20 @@
       mState.mBoundTargets[aChange.mAgentName] = aChange.mTarget;
     }
   }
+
+  void operator()(const RecordEvacuation& aChange)
+  {
+    if (aChange.mEvacuated) {
+      mState.mEvacuatedZones.insert(aChange.mZone);
+    } else {
+      mState.mEvacuatedZones.erase(aChange.mZone);
+    }
+  }
+
+  void operator()(const RecordObservations& aChange)
+  {
+    mState.mObservations = aChange.mObservations;
+  }
 };
 
 bool
--- a/dogwooddrum/coordination/workloads/State.h
+++ b/dogwooddrum/coordination/workloads/State.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "dogwooddrum/coordination/workloads/Observations.h"
 #include "dogwooddrum/protocol/WorkloadMessages.h"
 
 #include <map>
@@ -149,6 +150,29 @@
   }
 };
 
+/** Begins or ends the evacuation of an availability zone. */
+struct RecordEvacuation
+{
+  base::ZoneId mZone;
+  bool mEvacuated = false;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mZone, mEvacuated);
+  }
+};
+
+/** Replaces the observations of earlier leaders. */
+struct RecordObservations
+{
+  Observations mObservations;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mObservations);
+  }
+};
+
 using ChangeBody = std::variant<Accept,
                                 Cancel,
                                 BeginOccurrence,
@@ -157,7 +181,9 @@
                                 PurgeEnded,
                                 AdoptCatalog,
                                 BindTarget,
-                                RecordCrash>;
+                                RecordCrash,
+                                RecordEvacuation,
+                                RecordObservations>;
 
 /** One command of the replicated log. */
 struct Change
@@ -286,11 +312,23 @@
   {
     return mBoundTargets;
   }
+  /** Returns the availability zones in which nothing may be started. */
+  const std::set<base::ZoneId>& EvacuatedZones() const
+  {
+    return mEvacuatedZones;
+  }
+  /** Returns what the newest leader that published has learned. */
+  const Observations& LatestObservations() const { return mObservations; }
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mWorkloads, mActive, mCatalog, mBoundTargets);
+    aArchive(mWorkloads,
+             mActive,
+             mCatalog,
+             mBoundTargets,
+             mEvacuatedZones,
+             mObservations);
   }
 
 private:
@@ -300,6 +338,8 @@
   std::set<WorkloadId> mActive;
   Catalog mCatalog;
   std::map<std::string, TargetIncarnation> mBoundTargets;
+  std::set<base::ZoneId> mEvacuatedZones;
+  Observations mObservations;
 };
 
 /** Returns the spec's step of a task. Precondition: it exists. */
--- a/dogwooddrum/coordination/workloads/Units.cpp
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -61,6 +61,7 @@
     PlacementUnit base;
     base.mStep = &spec;
     base.mPool = aQueue.mPool;
+    base.mAccount = aWorkload.mAccount;
     base.mPriority = aQueue.mPriority;
     base.mGuaranteed = mGuarantees.mCovered.count(aId) > 0;
     base.mMayReclaim =
--- a/dogwooddrum/coordination/workloads/WorkerViews.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -109,6 +109,7 @@
     WorkerView view;
     view.mTargetIncarnation = incarnation;
     view.mPool = worker.mTargetInfo.mPool;
+    view.mZone = worker.mTargetInfo.mZone;
     view.mRack = worker.mTargetInfo.mRack;
     view.mLabels.insert(worker.mTargetInfo.mLabels.begin(),
                         worker.mTargetInfo.mLabels.end());
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -198,6 +198,11 @@
   }
   void operator()(const PurgeEnded&) const {}
   void operator()(const BindTarget&) const {}
+  void operator()(const RecordEvacuation&) const
+  {
+    mLeader.mDecisionDue = true;
+  }
+  void operator()(const RecordObservations&) const {}
   void operator()(const RecordCrash& aChange) const
   {
     std::set<WorkloadId> affected;
--- a/dogwooddrum/protocol/WorkloadMessages.h
+++ b/dogwooddrum/protocol/WorkloadMessages.h
@@ -92,12 +92,36 @@
   }
 };
 
+/** Requests that nothing more is started in an availability zone, or withdraws
+ * that request. Idempotent. */
+struct SetZoneEvacuation
+{
+  base::ZoneId mZone;
+  bool mEvacuated = false;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mZone, mEvacuated);
+  }
+};
+
+/** Requests the evacuated availability zones. */
+struct ListEvacuations
+{
+  template<class Archive>
+  void serialize(Archive& /*aArchive*/)
+  {
+  }
+};
+
 using WorkloadRequestBody = std::variant<SubmitWorkload,
                                          ReadWorkload,
                                          CancelWorkload,
                                          CountWaitingWorkloads,
                                          ReplaceCatalog,
-                                         ReadCatalog>;
+                                         ReadCatalog,
+                                         SetZoneEvacuation,
+                                         ListEvacuations>;
 
 struct WorkloadRequest
 {
@@ -144,6 +168,9 @@
   std::optional<CatalogDelta> mDelta;           ///< for ReadCatalog
   std::optional<Catalog> mCatalog;              ///< for ReadCatalog
   std::vector<std::string> mMembers; ///< link addresses, for ReadCatalog
+  /** Of Refused: when a retry may succeed; 0: not known. */
+  std::uint64_t mRetryAfterMs = 0;
+  std::vector<base::ZoneId> mEvacuatedZones; ///< for ListEvacuations
   template<class Archive>
   void serialize(Archive& aArchive)
   {
@@ -155,7 +182,9 @@
              mVersion,
              mDelta,
              mCatalog,
-             mMembers);
+             mMembers,
+             mRetryAfterMs,
+             mEvacuatedZones);
   }
 };
 
@@ -305,7 +334,10 @@
   FencingToken mFencingToken;  ///< for calls to this target incarnation
   std::uint64_t mSequence = 0; ///< increases within a term
   TargetIncarnation mTargetIncarnation;
-  std::int64_t mLeaseUntilUs = 0;  ///< by the agent's clock; 0: no lease
+  std::int64_t mLeaseUntilUs = 0; ///< by the agent's clock; 0: no lease
+  /** Time on the agent's clock after which it begins no start of these orders,
+   * since the leader may have learned of an evacuation by then; 0: no limit. */
+  std::int64_t mStartsUntilUs = 0;
   std::uint64_t mAcknowledged = 0; ///< ends up to here are committed
   std::vector<StartOrder> mStarts; ///< repeated until reported
   std::vector<RunId> mStops;
@@ -318,6 +350,7 @@
              mSequence,
              mTargetIncarnation,
              mLeaseUntilUs,
+             mStartsUntilUs,
              mAcknowledged,
              mStarts,
              mStops,
--- a/dogwooddrum/service/SettingsKeys.cpp
+++ b/dogwooddrum/service/SettingsKeys.cpp
@@ -559,6 +559,20 @@
            kPolicyField<&Policies::mFairShares>,
            "Whether priorities that are not urgent share a pool; otherwise the "
            "more urgent ones may use all of it."),
+    policy("worker_speeds",
+           kPolicyField<&Policies::mWorkerSpeeds>,
+           "Whether work is placed by the observed speeds of the workers."),
+    policy(
+      "run_time_distributions",
+      kPolicyField<&Policies::mRunTimeDistributions>,
+      "Whether run times are expected by the distribution of finished runs."),
+    policy("account_shares",
+           kPolicyField<&Policies::mAccountShares>,
+           "Whether the client accounts of a priority share what it uses of a "
+           "pool."),
+    policy("admission",
+           kPolicyField<&Policies::mAdmission>,
+           "Whether work that cannot end in time is refused at once."),
     policy("target_bindings",
            kPolicyField<&Policies::mTargetBindings>,
            "Whether a new leader ends the runs of targets that their VMs have "
