Limit the starts in one message of orders

Callers saw jobs that stayed queued or running for ever once more than 1 MiB of starts waited for one target. Cause: all starts that a target has not listed went into one message; the link drops a message above 1 MiB, with its lease and stops, and it never got smaller.

Change: a message takes the oldest starts up to half a frame; the next orders have the others. The simulation drops such messages as the link does.

--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -1,4 +1,5 @@
 #include "dogwooddrum/coordination/workloads/LeaderContext.h"
+#include "dogwooddrum/protocol/Limits.h"
 
 #include <algorithm>
 
@@ -11,6 +12,8 @@
  * its tasks from starting elsewhere forever. Shorter than a lease, and longer
  * than a few lost calls take. */
 constexpr std::uint64_t kMaxListAgeForGrantMs = 2000;
+/** Bytes of payloads and checkpoints of the starts in one message. */
+constexpr std::size_t kMaxStartBytes = protocol::kMaxFrameBytes / 2;
 /** Processes of an agent whose late reports are recognized. */
 constexpr std::size_t kMaxAgentProcesses = 16;
 
@@ -461,6 +464,31 @@
   }
 }
 
+/** Adds the starts that the target has not listed yet, the oldest first, as far
+ * as they fit into a message; the next orders have the others. A link drops a
+ * message that is too large, with the lease and the stops. */
+void
+AddStarts(const LeaderContext& aLeader,
+          std::vector<std::pair<base::Time, RunId>> aRuns,
+          protocol::WorkerOrders& aOrders)
+{
+  std::sort(aRuns.begin(), aRuns.end());
+  std::size_t bytes = 0;
+  for (const auto& [startedAt, run] : aRuns) {
+    const auto* workload = aLeader.mState->Find(run.mTask.mWorkload);
+    const auto* task = aLeader.mState->Find(run.mTask);
+    if (workload == nullptr || task == nullptr) {
+      continue;
+    }
+    bytes += workload->mSpec.mPayload.size() + task->mCheckpoint.size();
+    if (bytes > kMaxStartBytes && !aOrders.mStarts.empty()) {
+      return;
+    }
+    aOrders.mStarts.push_back(
+      { run, workload->mSpec.mPayload, task->mCheckpoint });
+  }
+}
+
 protocol::WorkerOrders
 MakeOrders(LeaderContext& aLeader,
            const TargetIncarnation& aTargetIncarnation,
@@ -474,6 +502,7 @@
   orders.mLeaseUntilUs = aWorker.mLeaseUntilUs;
   orders.mAcknowledged = aWorker.mAcknowledged;
   orders.mMembers = aLeader.mMembers;
+  std::vector<std::pair<base::Time, RunId>> starts;
   for (const auto& [run, open] : aLeader.mRuns) {
     if (open.mTarget != aTargetIncarnation || !open.mCommitted ||
         open.mEnding) {
@@ -483,14 +512,11 @@
       orders.mStops.push_back(run);
       continue;
     }
-    const auto* workload = aLeader.mState->Find(run.mTask.mWorkload);
-    const auto* task = aLeader.mState->Find(run.mTask);
-    if (aWorker.mReportedRuns.count(run) == 0 && workload != nullptr &&
-        task != nullptr) {
-      orders.mStarts.push_back(
-        { run, workload->mSpec.mPayload, task->mCheckpoint });
+    if (aWorker.mReportedRuns.count(run) == 0) {
+      starts.emplace_back(open.mStartedAt, run);
     }
   }
+  AddStarts(aLeader, std::move(starts), orders);
   for (const auto& [run, running] : aWorker.mReportedRuns) {
     const auto it = aLeader.mRuns.find(run);
     if (it == aLeader.mRuns.end() || it->second.mTarget != aTargetIncarnation) {
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/WorkloadSimulationState.h"
 
+#include "dogwooddrum/protocol/Limits.h"
+
 namespace dogwooddrum::tests {
 
 namespace {
@@ -436,11 +438,23 @@
   AddViolation("the scheduler still proposes changes after 100 rounds");
 }
 
+/** Returns whether the link drops the orders. Only starts make them large. */
+static bool
+ExceedsFrame(const protocol::WorkerOrders& aOrders)
+{
+  std::size_t bytes = 0;
+  for (const auto& start : aOrders.mStarts) {
+    bytes += start.mPayload.size() + start.mCheckpoint.size();
+  }
+  return bytes > protocol::kMaxFrameBytes;
+}
+
 void
 WorkloadSimulation::Deliver(WorkloadSchedulerMessage aMessage)
 {
   const auto* orders = std::get_if<protocol::WorkerOrders>(&aMessage.mBody);
-  if (orders == nullptr || HappensWith(mOptions.mFaults.mLostMessages)) {
+  if (orders == nullptr || HappensWith(mOptions.mFaults.mLostMessages) ||
+      ExceedsFrame(*orders)) {
     return;
   }
   // The session of an agent is its index plus 100.
