Never give up a long-running task for crashes of its targets

Callers saw a job that lasts as failed after three crashes of targets, and it was not started again. Cause: the limit of crashes, which protects targets from tasks that end, applied to tasks that run until they are cancelled too, though the rule says that these have no limit of attempts.

Change: long-running tasks are exempt; at most three crashed targets of a task are kept, since a task that lasts would collect them without bound.

--- a/dogwooddrum/coordination/workloads/State.cpp
+++ b/dogwooddrum/coordination/workloads/State.cpp
@@ -48,10 +48,12 @@
                      });
 }
 
+/** Returns whether the task is given up for the crashes during its runs. A task
+ * that runs until its workload is cancelled never is. */
 bool
-HasTooManyCrashes(const TaskRecord& aTask)
+HasTooManyCrashes(const WorkloadStep& aStep, const TaskRecord& aTask)
 {
-  return aTask.mCrashedTargets.size() >= kMaxCrashes;
+  return !aStep.mLongRunning && aTask.mCrashedTargets.size() >= kMaxCrashes;
 }
 
 /** Sets the phase of all members of a gang once none of them runs. */
@@ -75,7 +77,7 @@
     task.mFailures += aStep.mRunFailed ? 1 : 0;
     const bool isOutOfAttempts =
       !aSpec.mLongRunning && task.mFailures >= aWorkload.mMaxAttempts;
-    task.mPhase = isOutOfAttempts || HasTooManyCrashes(task)
+    task.mPhase = isOutOfAttempts || HasTooManyCrashes(aSpec, task)
                     ? TaskPhase::Failed
                     : TaskPhase::Waiting;
   }
@@ -89,7 +91,7 @@
                TaskRecord& aTask,
                RunEnd aEnd)
 {
-  if (HasTooManyCrashes(aTask) && aEnd != RunEnd::Done) {
+  if (HasTooManyCrashes(aSpec, aTask) && aEnd != RunEnd::Done) {
     aTask.mPhase = TaskPhase::Failed;
     return;
   }
@@ -120,7 +122,7 @@
         const std::string task = "task " + std::to_string(occurrence.mNumber) +
                                  "." + std::to_string(s) + "." +
                                  std::to_string(i);
-        return HasTooManyCrashes(tasks[i])
+        return HasTooManyCrashes(aWorkload.mSpec.mSteps[s], tasks[i])
                  ? std::to_string(tasks[i].mCrashedTargets.size()) +
                      " targets crashed during runs of " + task
                  : task + " failed " + std::to_string(tasks[i].mFailures) +
@@ -304,13 +306,14 @@
       }
       TaskRecord& task = step->mTasks[run.mTask.mIndex];
       auto& crashed = task.mCrashedTargets;
-      if (run.mRun > task.mRun ||
+      if (run.mRun > task.mRun || crashed.size() >= kMaxCrashes ||
           std::find(crashed.begin(), crashed.end(), aChange.mTarget) !=
             crashed.end()) {
         continue;
       }
       crashed.push_back(aChange.mTarget);
-      if (task.mPhase == TaskPhase::Waiting && HasTooManyCrashes(task)) {
+      if (task.mPhase == TaskPhase::Waiting &&
+          HasTooManyCrashes(StepOf(*workload, run.mTask), task)) {
         task.mPhase = TaskPhase::Failed;
         ResolveWorkload(run.mTask.mWorkload, *workload, aChange.mNowMs);
       }
--- a/dogwooddrum/coordination/workloads/State.h
+++ b/dogwooddrum/coordination/workloads/State.h
@@ -207,8 +207,9 @@
   Failed, ///< no attempt left
 };
 
-/** A task is given up after this many crashes of targets during its runs; the
- * platform's contract allows three. */
+/** A task is given up after this many crashes of targets during its runs,
+ * unless it runs until its workload is cancelled; the platform's contract
+ * allows three. */
 constexpr std::size_t kMaxCrashes = 3;
 
 struct TaskRecord
--- a/tests/error/CrashingTasks.cpp
+++ b/tests/error/CrashingTasks.cpp
@@ -187,6 +187,27 @@
   EXPECT_EQ(sim.Phase("other"), WorkloadPhase::Complete);
 }
 
+// A task that runs until its workload is cancelled was given up after three
+// crashes of targets, though it has no limit of attempts.
+TEST(CrashingTasksRestart, LongRunningTaskIsNeverGivenUp)
+{
+  WorkloadSimulation sim(EightWorkers(false));
+  sim.RunFor(500);
+  auto spec = OneStepSpec(1, 1000, 1, false);
+  spec.mSteps[0].mLongRunning = true;
+  sim.SetRunTime("service", 1000000);
+  sim.Submit("service", "p1", spec);
+  sim.RunFor(2000);
+  for (int crash = 1; crash <= 4; ++crash) {
+    for (const std::size_t worker : sim.WorkersOf("service")) {
+      sim.CrashTarget(worker, 1000, false);
+    }
+    sim.RunFor(26000);
+    EXPECT_EQ(sim.Phase("service"), WorkloadPhase::Running);
+    EXPECT_GE(sim.StartCount("service"), crash + 1);
+  }
+}
+
 // A crash of a VM, a planned end or a lost link is not the fault of a task.
 TEST(CrashingTasksOfOtherCauses, PowerLossesAndPlannedEndsAreNotCounted)
 {
