Draw ids of simulated members without repetition

Cause: on x86-64 the untouched code failed GroupPowerLoss.FiveMembersElectAgain with seed 38 (4 of 5 voters after the final fault). The history shows that vm-5 and vm-2 both started as member 188007: the test drew ids from a thousand numbers, and two disks that were lost at once got the same. The product draws 64 random bits. On arm64 the seeds take another course.

Ruled out: the product; the group has two processes of one id, which cannot happen there.

Change: an id that was used is drawn again; seeds without a repetition keep their course. The check is as strict as before.

--- a/tests/support/PowerLossGroup.cpp
+++ b/tests/support/PowerLossGroup.cpp
@@ -119,8 +119,12 @@
 base::MemberId
 PowerLossGroup::NewId()
 {
-  return base::MemberId(1000 * (1 + mSimulation.Random()() % 1000) +
+  base::MemberId id;
+  do {
+    id = base::MemberId(1000 * (1 + mSimulation.Random()() % 1000) +
                         mMachines.size());
+  } while (!mUsedIds.insert(id).second);
+  return id;
 }
 
 Machine&
--- a/tests/support/PowerLossGroup.h
+++ b/tests/support/PowerLossGroup.h
@@ -102,6 +102,7 @@
   Machine& AddMachine(base::MemberId aId, consensus::Membership aInitial);
   Machine* Find(const std::string& aAddress);
   Machine& MachineOf(const ControlNode& aNode);
+  /** Draws an id that no member has had, as the 64-bit ids of members. */
   base::MemberId NewId();
   void StartProcess(Machine& aMachine);
   void EndProcess(Machine& aMachine, const std::function<void()>& aEnd);
@@ -148,6 +149,7 @@
   NodeHooks mHooks;
   LogChecker mChecker;
   std::vector<std::unique_ptr<Machine>> mMachines;
+  std::set<base::MemberId> mUsedIds;
   std::vector<Machine*> mSlots; ///< the machines that are part of the system
   std::set<std::size_t> mLostDisks; ///< slots that have not caught up since
   base::Time mCalmFrom;
