Let the command line replace settings of the file

Cause: new parts need values that a deployment has or has not, such as the time of an evacuation. A template of the settings file that uses them would leave placeholders where another tool fills in only the present ones.

An empty value leaves the file's, so that a value that a deployment lacks changes nothing.

--- a/dogwooddrum/daemon/Daemon.cpp
+++ b/dogwooddrum/daemon/Daemon.cpp
@@ -117,11 +117,11 @@
    */
   Process(HostContext& aContext,
           const sigset_t& aSignals,
-          std::string aSettingsFile,
+          SettingsSource aSource,
           std::string aSettingsText)
     : mContext(aContext)
     , mSignals(aSignals)
-    , mSettingsFile(std::move(aSettingsFile))
+    , mSource(std::move(aSource))
     , mSettingsText(std::move(aSettingsText))
     , mHost(MakeHost(aContext))
   {
@@ -227,20 +227,20 @@
    * while the file is being replaced. */
   void Reload(bool aOnlyIfChanged)
   {
-    const auto text = service::ReadSettingsFile(mSettingsFile);
+    const auto text = service::ReadSettingsFile(mSource.mFile);
     if (aOnlyIfChanged && (!text || *text == mSettingsText)) {
       return;
     }
     mSettingsText = text ? *text : mSettingsText;
     const auto settings =
-      text ? service::ParseSettings(*text, mSettingsFile)
+      text ? service::ParseSettings(*text, mSource.mFile, mSource.mOverrides)
            : base::Outcome<service::Settings>(text.LastFailure());
     if (!settings) {
       service::Log(LogEvent::ReloadFailed,
                    { { "message", settings.LastFailure().mMessage } });
       return;
     }
-    service::Log(LogEvent::Reloaded, { { "file", mSettingsFile } });
+    service::Log(LogEvent::Reloaded, { { "file", mSource.mFile } });
     LogControlAddresses(*settings);
     mHost->Reload(*settings);
   }
@@ -300,7 +300,7 @@
 
   HostContext& mContext;
   const sigset_t mSignals;
-  const std::string mSettingsFile;
+  const SettingsSource mSource;
   std::string mSettingsText; ///< as last read
   base::Time mNextSettingsCheck{};
   LifeCycle mLifeCycle;
@@ -311,11 +311,11 @@
 } // namespace
 
 int
-RunDaemon(const std::string& aSettingsFile, const Adapters& aAdapters)
+RunDaemon(const SettingsSource& aSource, const Adapters& aAdapters)
 {
-  const auto text = service::ReadSettingsFile(aSettingsFile);
+  const auto text = service::ReadSettingsFile(aSource.mFile);
   const auto settings =
-    text ? service::ParseSettings(*text, aSettingsFile)
+    text ? service::ParseSettings(*text, aSource.mFile, aSource.mOverrides)
          : base::Outcome<service::Settings>(text.LastFailure());
   if (!settings) {
     std::fprintf(
@@ -359,16 +359,17 @@
   context.mMetrics = &metrics;
   context.mCounters = &counters;
   context.mAdapters = &aAdapters;
-  Process process(context, signals, aSettingsFile, *text);
+  Process process(context, signals, aSource, *text);
   const int status = process.Run();
   network.Stop();
   return status;
 }
 
 int
-BootstrapGroup(const std::string& aSettingsFile)
+BootstrapGroup(const SettingsSource& aSource)
 {
-  const auto settings = service::LoadSettings(aSettingsFile);
+  const auto settings =
+    service::LoadSettings(aSource.mFile, aSource.mOverrides);
   if (!settings) {
     std::fprintf(
       stderr, "dogwooddrumd: %s\n", settings.LastFailure().mMessage.c_str());
@@ -379,7 +380,7 @@
       stderr,
       "dogwooddrumd: --found requires a control member, but %s has the role "
       "%s\n",
-      aSettingsFile.c_str(),
+      aSource.mFile.c_str(),
       std::string(service::ToString(settings->mCommon.mRole)).c_str());
     return service::kUsageErrorExitStatus;
   }
--- a/dogwooddrum/daemon/main/Main.cpp
+++ b/dogwooddrum/daemon/main/Main.cpp
@@ -11,17 +11,23 @@
 
 namespace {
 
+using dogwooddrum::daemon::SettingsSource;
+
+/** Returned by poptGetNextOpt for each --set. */
+constexpr int kSetOption = 1;
+
 /** Reads the settings and opens nothing. */
 int
-CheckSettings(const char* aFile)
+CheckSettings(const SettingsSource& aSource)
 {
-  const auto settings = dogwooddrum::service::LoadSettings(aFile);
+  const auto settings =
+    dogwooddrum::service::LoadSettings(aSource.mFile, aSource.mOverrides);
   if (!settings) {
     std::fprintf(
       stderr, "dogwooddrumd: %s\n", settings.LastFailure().mMessage.c_str());
     return dogwooddrum::service::kUsageErrorExitStatus;
   }
-  std::printf("%s: the settings are valid\n", aFile);
+  std::printf("%s: the settings are valid\n", aSource.mFile.c_str());
   return 0;
 }
 
@@ -41,6 +47,14 @@
                                    0,
                                    "Settings file (INI)",
                                    "FILE" },
+                                 { "set",
+                                   0,
+                                   POPT_ARG_STRING,
+                                   nullptr,
+                                   kSetOption,
+                                   "Replace a setting of the file; may be "
+                                   "given several times",
+                                   "SECTION.KEY=VALUE" },
                                  { "check-config",
                                    0,
                                    POPT_ARG_NONE,
@@ -61,11 +75,24 @@
   const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
     poptGetContext("dogwooddrumd", aCount, aArguments, options, 0),
     poptFreeContext);
-  const int rc = poptGetNextOpt(context.get());
+  SettingsSource source;
+  int rc = poptGetNextOpt(context.get());
+  for (; rc == kSetOption; rc = poptGetNextOpt(context.get())) {
+    const std::unique_ptr<char, void (*)(void*)> text(
+      poptGetOptArg(context.get()), std::free);
+    const auto setting = dogwooddrum::service::ParseSettingOverride(text.get());
+    if (!setting) {
+      std::fprintf(stderr,
+                   "dogwooddrumd: --set: %s\n",
+                   setting.LastFailure().mMessage.c_str());
+      return dogwooddrum::service::kUsageErrorExitStatus;
+    }
+    source.mOverrides.push_back(*setting);
+  }
   if (rc < -1 || settingsFile == nullptr || poptPeekArg(context.get())) {
     std::fprintf(stderr,
                  "dogwooddrumd: %s\nusage: dogwooddrumd --settings FILE "
-                 "[--check-config | --found]\n",
+                 "[--set SECTION.KEY=VALUE]... [--check-config | --found]\n",
                  rc < -1
                    ? poptStrerror(rc)
                    : "--settings is required, and no arguments are allowed");
@@ -73,11 +100,11 @@
   }
   const std::unique_ptr<char, void (*)(void*)> ownedSettingsFile(settingsFile,
                                                                  std::free);
+  source.mFile = settingsFile;
   if (checkOnly != 0) {
-    return CheckSettings(settingsFile);
+    return CheckSettings(source);
   }
-  return bootstrap != 0
-           ? dogwooddrum::daemon::BootstrapGroup(settingsFile)
-           : dogwooddrum::daemon::RunDaemon(
-               settingsFile, dogwooddrum::platform::MakeAdapters());
+  return bootstrap != 0 ? dogwooddrum::daemon::BootstrapGroup(source)
+                        : dogwooddrum::daemon::RunDaemon(
+                            source, dogwooddrum::platform::MakeAdapters());
 }
--- a/dogwooddrum/service/Settings.cpp
+++ b/dogwooddrum/service/Settings.cpp
@@ -454,8 +454,25 @@
   return Address{ ip, static_cast<std::uint16_t>(*port) };
 }
 
+base::Outcome<SettingOverride>
+ParseSettingOverride(const std::string& aText)
+{
+  const auto dot = aText.find('.');
+  const auto equals = aText.find('=');
+  if (dot == 0 || dot == std::string::npos || equals == std::string::npos ||
+      dot + 1 >= equals) {
+    return base::Failure{ base::Reason::InvalidRequest,
+                          "\"" + aText + "\" is not SECTION.KEY=VALUE" };
+  }
+  return SettingOverride{ aText.substr(0, dot),
+                          aText.substr(dot + 1, equals - dot - 1),
+                          aText.substr(equals + 1) };
+}
+
 base::Outcome<Settings>
-ParseSettings(const std::string& aText, const std::string& aFile)
+ParseSettings(const std::string& aText,
+              const std::string& aFile,
+              const std::vector<SettingOverride>& aOverrides)
 {
   Tree tree;
   try {
@@ -467,6 +484,12 @@
                             e.message() +
                             "; allowed are [section] and key = value lines" };
   }
+  for (const SettingOverride& each : aOverrides) {
+    if (!each.mValue.empty()) {
+      tree.put(Tree::path_type(each.mSection + "/" + each.mKey, '/'),
+               each.mValue);
+    }
+  }
   if (const auto unknownKey = FindUnknownKey(tree, aFile)) {
     return *unknownKey;
   }
@@ -506,10 +529,11 @@
 }
 
 base::Outcome<Settings>
-LoadSettings(const std::string& aFile)
+LoadSettings(const std::string& aFile,
+             const std::vector<SettingOverride>& aOverrides)
 {
   const auto text = ReadSettingsFile(aFile);
-  return text ? ParseSettings(*text, aFile)
+  return text ? ParseSettings(*text, aFile, aOverrides)
               : base::Outcome<Settings>(text.LastFailure());
 }
 
--- a/dogwooddrum/service/Settings.h
+++ b/dogwooddrum/service/Settings.h
@@ -148,13 +148,30 @@
   AgentSettings mAgent;
 };
 
+/** A setting of the command line, which replaces that of the file. An empty
+ * value leaves the file's. */
+struct SettingOverride
+{
+  std::string mSection;
+  std::string mKey;
+  std::string mValue;
+};
+
+/** Parses SECTION.KEY=VALUE. The failure is InvalidRequest with a message that
+ * names the text. Thread safe. */
+base::Outcome<SettingOverride>
+ParseSettingOverride(const std::string& aText);
+
 /**
- * Parses settings from INI text. aFile is used in messages only. The failure
- * is InvalidRequest with one message that names the file, section, key, value
- * and the allowed values. Opens no file or socket. Thread safe.
+ * Parses settings from INI text, with the overrides in their order. aFile is
+ * used in messages only. The failure is InvalidRequest with one message that
+ * names the file, section, key, value and the allowed values. Opens no file or
+ * socket. Thread safe.
  */
 base::Outcome<Settings>
-ParseSettings(const std::string& aText, const std::string& aFile);
+ParseSettings(const std::string& aText,
+              const std::string& aFile,
+              const std::vector<SettingOverride>& aOverrides = {});
 
 /** Returns the content of a settings file. Thread safe. */
 base::Outcome<std::string>
@@ -162,7 +179,8 @@
 
 /** Reads aFile and parses it with ParseSettings. Thread safe. */
 base::Outcome<Settings>
-LoadSettings(const std::string& aFile);
+LoadSettings(const std::string& aFile,
+             const std::vector<SettingOverride>& aOverrides = {});
 
 /** Returns the reference of all keys as Markdown (docs/settings.md). */
 std::string
--- a/tests/error/SettingsRefused.cpp
+++ b/tests/error/SettingsRefused.cpp
@@ -145,6 +145,31 @@
   ExpectRefused("[common\nrole = entry\n", { "line 1" });
 }
 
+TEST(SettingsRefused, OverridesReplaceSettingsOfTheFile)
+{
+  const auto link = ParseSettingOverride("control.task_lease_ms=4000");
+  const auto empty = ParseSettingOverride("control.stop_time_ms=");
+  ASSERT_TRUE(link && empty);
+  const auto settings = ParseSettings(
+    kCommon + kControl + "stop_time_ms = 700\n", "file.ini", { *link, *empty });
+  ASSERT_TRUE(settings) << settings.LastFailure().mMessage;
+  EXPECT_EQ(settings->mControl.mTaskLease, base::Milliseconds(4000));
+  EXPECT_EQ(settings->mControl.mStopTime, base::Milliseconds(700));
+}
+
+TEST(SettingsRefused, MalformedAndUnknownOverrides)
+{
+  for (const char* text :
+       { "", "control", "control=1", ".key=1", "control.=1" }) {
+    EXPECT_FALSE(ParseSettingOverride(text)) << text;
+  }
+  const auto unknown = ParseSettings(
+    kCommon + kControl, "file.ini", { { "control", "no_such_key", "1" } });
+  ASSERT_FALSE(unknown);
+  EXPECT_NE(unknown.LastFailure().mMessage.find("no_such_key"),
+            std::string::npos);
+}
+
 TEST(SettingsRefused, MissingFile)
 {
   const auto settings = LoadSettings("no-such-folder/file.ini");
