Log the progress of runs that are stopped

Whether a stop for a stall or a preemption was right depends on how far the run was, and the log did not tell. The event run_stopped names the percent that the target listed last.

--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -545,7 +545,8 @@
            { { "task", ToString(aRun.mTask) },
              { "run", std::to_string(aRun.mRun.Value()) },
              { "target", it->second.mTarget.mInstance },
-             { "reason", aReason } });
+             { "reason", aReason },
+             { "percent", std::to_string(it->second.mProgress.mPercent) } });
   const auto worker = aLeader.mWorkers.find(it->second.mTarget);
   if (worker != aLeader.mWorkers.end()) {
     worker->second.mOrdersChanged = true;
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -433,7 +433,7 @@
     { LogEvent::RunStopped,
       LogLevel::Info,
       "run_stopped",
-      "task {task} run {run} at {target} is stopped: {reason}",
+      "task {task} run {run} at {target} is stopped: {reason}, at {percent}%",
       "The run's capacity is needed, or its workload has ended.",
       "Nothing." },
     { LogEvent::RunEnded,
