Judge stalled members of a gang by the whole gang

Cause: a member of a gang that has done its share waits for the members on slower workers.

Change: a member at 100 percent waits while another member is below. A member below is judged as before, so that a worker that stands still is found as soon. If only some members have stalled, only their workers are avoided and marked as stalling; before, a gang avoided the workers of all members, and could start again on the one that stood still. The simulation of workloads has a speed per worker and gangs that end together.

--- a/dogwooddrum/coordination/workloads/Stalls.cpp
+++ b/dogwooddrum/coordination/workloads/Stalls.cpp
@@ -17,6 +17,24 @@
 /** Stalls are checked for in intervals, since each check visits all runs. */
 constexpr base::Duration kStallCheckInterval = base::Milliseconds(250);
 
+constexpr std::uint32_t kWholePercent = 100;
+
+/** Returns whether a member of a gang has done its share and waits for another
+ * member, on a slower worker. */
+bool
+WaitsForGang(const LeaderContext& aLeader,
+             const RunId& aRun,
+             const OpenRun& aOpen)
+{
+  if (aOpen.mProgress.mPercent < kWholePercent) {
+    return false;
+  }
+  const auto gang = GangOf(aLeader, aRun);
+  return std::any_of(gang.begin(), gang.end(), [&](const RunId& aMember) {
+    return aLeader.mRuns.at(aMember).mProgress.mPercent < kWholePercent;
+  });
+}
+
 /** Returns how long the run has made no progress; zero if it makes progress or
  * if this cannot be determined. */
 base::Duration
@@ -32,7 +50,8 @@
   }
   const WorkloadStep& step = StepOf(*workload, aRun.mTask);
   // A gang without progress so far may be waiting for a member to start.
-  if (step.mLongRunning || (step.mGang && progress.mPercentPerSecond == 0)) {
+  if (step.mLongRunning || (step.mGang && progress.mPercentPerSecond == 0) ||
+      WaitsForGang(aLeader, aRun, aOpen)) {
     return base::Duration::zero();
   }
   const auto stalled = progress.mListedAt - progress.mAdvancedAt;
@@ -66,31 +85,40 @@
     return;
   }
   aLeader.mNextStallCheck = aLeader.mNow + kStallCheckInterval;
-  std::vector<RunId> stalledRuns;
+  std::map<RunId, base::Duration> stalledRuns;
   for (const auto& [run, open] : aLeader.mRuns) {
     if (!open.mCommitted || open.mStopping || open.mEnding) {
       continue;
     }
     const auto stalled = StalledFor(aLeader, run, open);
-    if (stalled == base::Duration::zero()) {
-      continue;
+    if (stalled > base::Duration::zero()) {
+      stalledRuns.emplace(run, stalled);
     }
+  }
+  for (const auto& [run, stalled] : stalledRuns) {
+    const auto gang = GangOf(aLeader, run);
+    const auto isStalled = [&all = stalledRuns](const RunId& aMember) {
+      return all.count(aMember) > 0;
+    };
+    // If a whole gang stands still, each member may be the cause.
+    const bool isCause =
+      gang.size() == 1 || !std::all_of(gang.begin(), gang.end(), isStalled);
+    const OpenRun& open = aLeader.mRuns.at(run);
     const auto worker = aLeader.mWorkers.find(open.mTarget);
-    // In a gang, a member on another worker may be the cause.
-    if (worker != aLeader.mWorkers.end() && GangOf(aLeader, run).size() == 1) {
+    if (worker != aLeader.mWorkers.end() && isCause) {
       worker->second.mStalledAt = aLeader.mNow;
     }
     // How long the stall will last is unknown. Stopping the run once it has
     // stalled for as long as the stop costs takes at most twice the time of the
     // better choice.
-    if (stalled >= LostTime(aLeader, run, open)) {
-      stalledRuns.push_back(run);
+    if (stalled < LostTime(aLeader, run, open)) {
+      continue;
     }
-  }
-  for (const RunId& run : stalledRuns) {
-    for (const RunId& member : GangOf(aLeader, run)) {
-      const auto& target = aLeader.mRuns.at(member).mTarget;
-      aLeader.mFailedOn[member.mTask].insert(target);
+    for (const RunId& member : gang) {
+      if (!isCause || isStalled(member)) {
+        aLeader.mFailedOn[member.mTask].insert(
+          aLeader.mRuns.at(member).mTarget);
+      }
       StopRun(aLeader, member, "stalled");
     }
   }
--- a/tests/correctness/WorkloadStalls.cpp
+++ b/tests/correctness/WorkloadStalls.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace dogwooddrum::tests {
 namespace {
 
@@ -72,5 +74,58 @@
   EXPECT_EQ(sim.Phase("long"), WorkloadPhase::Complete);
 }
 
+void
+SubmitGang(WorkloadSimulation& aSim, const char* aId, std::int64_t aRunMs)
+{
+  aSim.SetRunTime(aId, aRunMs);
+  auto spec = OneStepSpec(2, 1000, 8, true);
+  spec.mSteps[0].mEstimateMs = static_cast<std::uint64_t>(aRunMs);
+  aSim.Submit(aId, "p0", spec);
+}
+
+// A gang of one fast and one slow worker was stopped while the fast member,
+// which had done its share, waited for the slow one.
+TEST(WorkloadStalls, GangThatWaitsForASlowMemberIsNotStopped)
+{
+  WorkloadSimulation sim(TwoWorkers());
+  sim.SetSlowness(1, 3);
+  sim.RunFor(500);
+  SubmitGang(sim, "gang", 2500);
+  sim.RunFor(8500);
+  EXPECT_EQ(sim.StartCount("gang"), 2);
+  EXPECT_EQ(sim.Phase("gang"), WorkloadPhase::Complete);
+}
+
+// Load: a gang of two, one worker of which stands still while the other member
+// works, or waits after its share.
+class StalledGangs : public testing::TestWithParam<std::int64_t>
+{};
+
+TEST_P(StalledGangs, StartAgainWithoutTheStalledWorker)
+{
+  WorkloadSimulationOptions options;
+  options.mWorkers = 3;
+  WorkloadSimulation sim(options);
+  sim.SetSlowness(0, 2);
+  sim.SetSlowness(1, 2);
+  sim.SetSlowness(2, 2);
+  sim.RunFor(500);
+  SubmitGang(sim, "gang", 2500);
+  sim.RunFor(GetParam());
+  const auto first = sim.WorkersOf("gang");
+  ASSERT_EQ(first.size(), 2U);
+  sim.Stall(*first.begin(), 20000);
+  // The stall shows after as long as the gang has worked, and the gang works
+  // for another 5 s.
+  sim.RunFor(std::max<std::int64_t>(GetParam(), 1500) + 1500 + 5000);
+  EXPECT_EQ(sim.Phase("gang"), WorkloadPhase::Complete);
+  EXPECT_EQ(sim.StartCount("gang"), 4);
+  EXPECT_TRUE(sim.Violations().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(WorkloadStalls,
+                         StalledGangs,
+                         testing::Values(1500, 2500, 4500));
+
 } // namespace
 } // namespace dogwooddrum::tests
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -350,6 +350,12 @@
   mWorkers[aWorker]->mStalledUntil = mNowMs + aForMs;
 }
 
+void
+WorkloadSimulation::SetSlowness(std::size_t aWorker, double aSlowness)
+{
+  mWorkers[aWorker]->mSlowness = aSlowness;
+}
+
 void
 WorkloadSimulation::ChangeLeader()
 {
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -126,6 +126,8 @@
   void KillTarget(std::size_t aWorker);
   /** Stops the progress of all runs on a worker. */
   void Stall(std::size_t aWorker, std::int64_t aForMs);
+  /** Makes later runs on a worker take aSlowness times their run time. */
+  void SetSlowness(std::size_t aWorker, double aSlowness);
   void ChangeLeader();
   void RunFor(std::int64_t aMs);
   /** Sets the probabilities of all faults to 0. */
@@ -145,6 +147,7 @@
 
 private:
   struct Target;
+  struct RunningTask;
   struct Worker;
   struct Later;
   struct DeposedLeader;
@@ -181,6 +184,9 @@
     std::size_t aWorker,
     const coordination::workloads::OrderCall& aCall);
   void CheckStart(std::size_t aWorker, const protocol::RunId& aRun);
+  /** Returns whether a member of a gang has done its share and waits for
+   * another member. */
+  bool WaitsForGang(const RunningTask& aRunning) const;
   void AdvanceTarget(std::size_t aWorker);
   void AddViolation(const std::string& aWhat);
   void ScheduleAfter(std::int64_t aMs, std::function<void()> aWork);
--- a/tests/support/WorkloadSimulationState.h
+++ b/tests/support/WorkloadSimulationState.h
@@ -24,20 +24,21 @@
 /** Longest lease that a target grants. */
 constexpr std::int64_t kMaxLeaseMs = 6000;
 
+struct WorkloadSimulation::RunningTask
+{
+  RunId mRun;
+  std::int64_t mBeganAt = 0; ///< simulation time
+  std::int64_t mEndsAt = 0;  ///< simulation time
+  RunEnd mEnd = RunEnd::Done;
+};
+
 /** A simulated target that follows the platform's specification. */
 struct WorkloadSimulation::Target
 {
-  struct Running
-  {
-    RunId mRun;
-    std::int64_t mBeganAt = 0; ///< simulation time
-    std::int64_t mEndsAt = 0;  ///< simulation time
-    RunEnd mEnd = RunEnd::Done;
-  };
   protocol::TargetInfo mTargetInfo;
   std::optional<std::int64_t> mShrunkAt; ///< its capacity is reduced since
   std::int64_t mClockZero = 0; ///< simulation time at which its clock is 0
-  std::map<TaskId, Running> mRuns;
+  std::map<TaskId, RunningTask> mRuns;
   std::map<TaskId, RunNumber> mClosed; ///< highest run stopped or ended
   std::vector<EndedTask> mEnded;
   std::uint64_t mLastEnd = 0;
@@ -79,6 +80,7 @@
   bool mFailing = false;
   std::int64_t mVmGoneAt = std::numeric_limits<std::int64_t>::max();
   std::int64_t mStalledUntil = 0;
+  double mSlowness = 1;
   std::int64_t mTargetDownUntil = 0;
   bool mIsTargetDead = false;
   std::int64_t mPausedUntil = 0; ///< of the agent
--- a/tests/support/WorkloadSimulationTargets.cpp
+++ b/tests/support/WorkloadSimulationTargets.cpp
@@ -95,12 +95,15 @@
   target.mLeaseUntil =
     std::max(target.mLeaseUntil,
              std::min(aCall.mLeaseUntilMs, target.Clock(mNowMs) + kMaxLeaseMs));
-  Target::Running running;
+  RunningTask running;
   running.mRun = run;
   running.mBeganAt = mNowMs;
   const auto time = mRunTimes.find(id);
   running.mEndsAt =
-    mNowMs + (time == mRunTimes.end() ? kDefaultRunMs : time->second);
+    mNowMs + static_cast<std::int64_t>(
+               mWorkers[aWorker]->mSlowness *
+               static_cast<double>(time == mRunTimes.end() ? kDefaultRunMs
+                                                           : time->second));
   const bool fails = mFailing.count(id) > 0 || mWorkers[aWorker]->mFailing ||
                      HappensWith(mOptions.mFaults.mFailingRuns);
   running.mEnd = fails ? RunEnd::Failed : RunEnd::Done;
@@ -189,6 +192,27 @@
                 });
 }
 
+bool
+WorkloadSimulation::WaitsForGang(const RunningTask& aRunning) const
+{
+  const TaskId& task = aRunning.mRun.mTask;
+  if (aRunning.mEnd == RunEnd::Stopped || !StepOf(task).mGang) {
+    return false;
+  }
+  const auto isBehind = [&](const auto& aEach) {
+    const RunId& other = aEach.second.mRun;
+    return other.mRun == aRunning.mRun.mRun &&
+           other.mTask.mWorkload == task.mWorkload &&
+           other.mTask.mOccurrence == task.mOccurrence &&
+           other.mTask.mStep == task.mStep && aEach.second.mEndsAt > mNowMs;
+  };
+  return std::any_of(
+    mWorkers.begin(), mWorkers.end(), [&](const auto& aWorker) {
+      const auto& runs = aWorker->mTarget->mRuns;
+      return std::any_of(runs.begin(), runs.end(), isBehind);
+    });
+}
+
 void
 WorkloadSimulation::AdvanceTarget(std::size_t aWorker)
 {
@@ -209,7 +233,7 @@
   }
   std::vector<TaskId> due;
   for (const auto& [task, running] : target.mRuns) {
-    if (running.mEndsAt <= mNowMs) {
+    if (running.mEndsAt <= mNowMs && !WaitsForGang(running)) {
       due.push_back(task);
     }
   }
@@ -359,9 +383,10 @@
                         target.mEnded.end());
     std::vector<protocol::RunningTask> running;
     for (const auto& [task, run] : target.mRuns) {
-      const auto percent =
+      const auto percent = std::min<std::int64_t>(
+        100,
         100 * (mNowMs - run.mBeganAt) /
-        std::max<std::int64_t>(run.mEndsAt - run.mBeganAt, 1);
+          std::max<std::int64_t>(run.mEndsAt - run.mBeganAt, 1));
       running.push_back({ run.mRun, "", static_cast<std::uint32_t>(percent) });
     }
     worker.mAgent->OnListing(target.mTargetInfo.mTargetIncarnation,
