Do not stop a gang as stalled whose end is listed

Cause: the members of a gang end together, but their targets list the ends at different times.

Change: a member at 100 percent also waits if another member has ended.

Result: GangWithAnEndIsNotStopped failed before.

--- a/dogwooddrum/coordination/workloads/Stalls.cpp
+++ b/dogwooddrum/coordination/workloads/Stalls.cpp
@@ -20,19 +20,24 @@
 constexpr std::uint32_t kWholePercent = 100;
 
 /** Returns whether a member of a gang has done its share and waits for another
- * member, on a slower worker. */
+ * member, on a slower worker, or for its end, which may be listed for another
+ * member first. */
 bool
 WaitsForGang(const LeaderContext& aLeader,
              const RunId& aRun,
              const OpenRun& aOpen)
 {
-  if (aOpen.mProgress.mPercent < kWholePercent) {
+  const auto* workload = aLeader.mState->Find(aRun.mTask.mWorkload);
+  if (!StepOf(*workload, aRun.mTask).mGang ||
+      aOpen.mProgress.mPercent < kWholePercent) {
     return false;
   }
   const auto gang = GangOf(aLeader, aRun);
-  return std::any_of(gang.begin(), gang.end(), [&](const RunId& aMember) {
-    return aLeader.mRuns.at(aMember).mProgress.mPercent < kWholePercent;
-  });
+  return gang.size() < StepOf(*workload, aRun.mTask).mCount ||
+         std::any_of(gang.begin(), gang.end(), [&](const RunId& aMember) {
+           const OpenRun& member = aLeader.mRuns.at(aMember);
+           return member.mEnding || member.mProgress.mPercent < kWholePercent;
+         });
 }
 
 /** Returns how long the run has made no progress; zero if it makes progress or
--- a/tests/correctness/WorkloadStalls.cpp
+++ b/tests/correctness/WorkloadStalls.cpp
@@ -96,6 +96,21 @@
   EXPECT_EQ(sim.Phase("gang"), WorkloadPhase::Complete);
 }
 
+// The end of a gang is listed by one member first; the others, which had waited
+// for long, were stopped as stalled.
+TEST(WorkloadStalls, GangWithAnEndIsNotStopped)
+{
+  WorkloadSimulation sim(TwoWorkers());
+  sim.SetSlowness(1, 3);
+  sim.RunFor(500);
+  SubmitGang(sim, "gang", 2500);
+  sim.RunFor(7400);
+  sim.PauseAgent(0, 600);
+  sim.RunFor(1000);
+  EXPECT_EQ(sim.Phase("gang"), WorkloadPhase::Complete);
+  EXPECT_EQ(sim.StopCount("stalled"), 0);
+}
+
 // Load: a gang of two, one worker of which stands still while the other member
 // works, or waits after its share.
 class StalledGangs : public testing::TestWithParam<std::int64_t>
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -422,6 +422,14 @@
     for (auto& message : output.mMessages) {
       Deliver(std::move(message));
     }
+    for (const WorkloadEvent& event : output.mWorkloadEvents) {
+      for (const auto& [name, value] : event.mFields) {
+        if (event.mKind == WorkloadEvent::Kind::RunStopped &&
+            name == "reason") {
+          ++mStops[value];
+        }
+      }
+    }
     if (output.mChanges.empty()) {
       return;
     }
@@ -576,6 +584,13 @@
   return it == mStarts.end() ? 0 : it->second;
 }
 
+int
+WorkloadSimulation::StopCount(const std::string& aReason) const
+{
+  const auto it = mStops.find(aReason);
+  return it == mStops.end() ? 0 : it->second;
+}
+
 std::int64_t
 WorkloadSimulation::FirstStartMs(const std::string& aId) const
 {
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -136,6 +136,8 @@
   protocol::WorkloadPhase Phase(const std::string& aId) const;
   /** Returns the number of starts of tasks of the workload at targets. */
   int StartCount(const std::string& aId) const;
+  /** Returns the number of runs that the leader stopped for aReason. */
+  int StopCount(const std::string& aReason) const;
   /** Returns the time from submission to the first start in ms, or -1. */
   std::int64_t FirstStartMs(const std::string& aId) const;
   /** Returns the time from submission until Phase was first seen to be complete
@@ -208,6 +210,7 @@
   std::map<std::string, std::int64_t> mFirstStartedAt;
   std::map<std::string, std::int64_t> mCompletedAt;
   std::map<std::string, int> mStarts;
+  std::map<std::string, int> mStops;
   std::map<std::string, std::set<std::size_t>> mStartedOn;
   std::set<std::string> mFailing;
   std::set<std::string> mCrashing;
