--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -352,6 +352,12 @@
   mWorkers[aWorker]->mStalledUntil = mNowMs + aForMs;
 }
 
+void
+WorkloadSimulation::SetSlowness(std::size_t aWorker, double aSlowness)
+{
+  mWorkers[aWorker]->mSlowness = aSlowness;
+}
+
 void
 WorkloadSimulation::ChangeLeader()
 {
@@ -418,6 +424,14 @@
     for (auto& message : output.mMessages) {
       Deliver(std::move(message));
     }
+    for (const WorkloadEvent& event : output.mWorkloadEvents) {
+      for (const auto& [name, value] : event.mFields) {
+        if (event.mKind == WorkloadEvent::Kind::RunStopped &&
+            name == "reason") {
+          ++mStops[value];
+        }
+      }
+    }
     if (output.mChanges.empty()) {
       return;
     }
@@ -584,6 +598,13 @@
   return it == mStarts.end() ? 0 : it->second;
 }
 
+int
+WorkloadSimulation::StopCount(const std::string& aReason) const
+{
+  const auto it = mStops.find(aReason);
+  return it == mStops.end() ? 0 : it->second;
+}
+
 std::int64_t
 WorkloadSimulation::FirstStartMs(const std::string& aId) const
 {
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -126,6 +126,8 @@
   void KillTarget(std::size_t aWorker);
   /** Stops the progress of all runs on a worker. */
   void Stall(std::size_t aWorker, std::int64_t aForMs);
+  /** Makes later runs on a worker take aSlowness times their run time. */
+  void SetSlowness(std::size_t aWorker, double aSlowness);
   void ChangeLeader();
   void RunFor(std::int64_t aMs);
   /** Sets the probabilities of all faults to 0. */
@@ -134,6 +136,8 @@
   protocol::WorkloadPhase Phase(const std::string& aId) const;
   /** Returns the number of starts of tasks of the workload at targets. */
   int StartCount(const std::string& aId) const;
+  /** Returns the number of runs that the leader stopped for aReason. */
+  int StopCount(const std::string& aReason) const;
   /** Returns the time from submission to the first start in ms, or -1. */
   std::int64_t FirstStartMs(const std::string& aId) const;
   /** Returns the time from submission until Phase was first seen to be complete
@@ -145,6 +149,7 @@
 
 private:
   struct Target;
+  struct RunningTask;
   struct Worker;
   struct Later;
   struct DeposedLeader;
@@ -181,6 +186,9 @@
     std::size_t aWorker,
     const coordination::workloads::OrderCall& aCall);
   void CheckStart(std::size_t aWorker, const protocol::RunId& aRun);
+  /** Returns whether a member of a gang has done its share and waits for
+   * another member. */
+  bool WaitsForGang(const RunningTask& aRunning) const;
   void AdvanceTarget(std::size_t aWorker);
   void AddViolation(const std::string& aWhat);
   void ScheduleAfter(std::int64_t aMs, std::function<void()> aWork);
@@ -202,6 +210,7 @@
   std::map<std::string, std::int64_t> mFirstStartedAt;
   std::map<std::string, std::int64_t> mCompletedAt;
   std::map<std::string, int> mStarts;
+  std::map<std::string, int> mStops;
   std::map<std::string, std::set<std::size_t>> mStartedOn;
   std::set<std::string> mFailing;
   std::set<std::string> mCrashing;
