Learn and publish the speeds of workers

Cause: workers of one pool may take different times for the same work, and no decision knew it; a new leader would have had to learn it again.

Change: WorkerSpeeds compares the progress rates of the tasks of a step on several VMs: a projected run time is the step's work times the VM's slowness, fitted by alternating medians and decayed means. A slowness counts only from 1.3 times the median VM on and if it exceeds twice its standard error, so that VMs that are alike stay alike. Progress after a member's share is done does not count, and tasks away from their data are compared with each other only. The leader publishes what differs clearly at most every 5 s, from a table of sources that other parts can add to, and a new leader starts with it. WorkerView has the slowness; nothing uses it yet.

--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -8,6 +8,7 @@
 #include "dogwooddrum/coordination/workloads/Headroom.h"
 #include "dogwooddrum/coordination/workloads/QueueHeads.h"
 #include "dogwooddrum/coordination/workloads/RunTimeEstimator.h"
+#include "dogwooddrum/coordination/workloads/WorkerSpeeds.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
 
 #include <map>
@@ -122,6 +123,8 @@
   std::map<std::string, AgentView> mAgents; ///< by name
   std::map<TaskId, base::Time> mReadySince;
   RunTimeEstimator mRunTimeEstimator;
+  WorkerSpeeds mWorkerSpeeds;
+  base::Time mNextPublication; ///< see PublishObservations
   QueueHeads mQueueHeads;
   /** First task of the unit of each level for which workers are reserved. */
   std::map<QueueLevel, TaskId> mReservations;
@@ -202,6 +205,11 @@
 ExpectedTimeLeft(const LeaderContext& aLeader,
                  const RunId& aRun,
                  const OpenRun& aOpen);
+/** Learns the speed of aWorker from the listed progress of a run there. */
+void
+LearnSpeed(LeaderContext& aLeader,
+           const Worker& aWorker,
+           const protocol::RunningTask& aRunning);
 /** Stops runs that are not expected to end before their target has left. */
 void
 StopRunsOnLeavingTargets(LeaderContext& aLeader);
--- /dev/null
+++ b/dogwooddrum/coordination/workloads/ObservationPublisher.cpp
@@ -0,0 +1,93 @@
+#include "dogwooddrum/coordination/workloads/ObservationPublisher.h"
+
+#include <algorithm>
+#include <map>
+
+namespace dogwooddrum::coordination::workloads {
+
+namespace {
+
+/** A change is written to the disks of the control group, and a new leader
+ * learns as much again in a few seconds. */
+constexpr base::Duration kPublishInterval = std::chrono::seconds(5);
+
+/** One kind of observation. A leader adds what it has learned, and compares and
+ * adopts what is published. */
+struct Source
+{
+  void (*mCollect)(const LeaderContext& aLeader, Observations& aObservations);
+  /** Returns whether the difference is worth a change. */
+  bool (*mDiffers)(const Observations& aPublished, const Observations& aNew);
+  void (*mAdopt)(LeaderContext& aLeader, const Observations& aPublished);
+};
+
+void
+CollectSpeeds(const LeaderContext& aLeader, Observations& aObservations)
+{
+  aObservations.mSpeeds = aLeader.mWorkerSpeeds.Observed();
+}
+
+/** Returns whether a worker's slowness differs by as much as placement
+ * heeds. */
+bool
+SpeedsDiffer(const Observations& aPublished, const Observations& aNew)
+{
+  constexpr double kWhole = 1000;
+  std::map<std::string, std::pair<double, double>> slowness;
+  for (const ObservedSpeed& speed : aPublished.mSpeeds) {
+    slowness[speed.mAgentName] = { speed.mSlownessPermille, kWhole };
+  }
+  for (const ObservedSpeed& speed : aNew.mSpeeds) {
+    const auto it =
+      slowness.try_emplace(speed.mAgentName, kWhole, kWhole).first;
+    it->second.second = speed.mSlownessPermille;
+  }
+  return std::any_of(slowness.begin(), slowness.end(), [](const auto& aSpeed) {
+    const auto [before, after] = aSpeed.second;
+    return std::max(before, after) >= kLeastSlowness * std::min(before, after);
+  });
+}
+
+void
+AdoptSpeeds(LeaderContext& aLeader, const Observations& aPublished)
+{
+  if (aLeader.mOptions.mPolicies.mWorkerSpeeds) {
+    aLeader.mWorkerSpeeds.Adopt(aPublished.mSpeeds);
+  }
+}
+
+constexpr Source kSources[] = {
+  { CollectSpeeds, SpeedsDiffer, AdoptSpeeds },
+};
+
+} // namespace
+
+void
+PublishObservations(LeaderContext& aLeader)
+{
+  if (aLeader.mNow < aLeader.mNextPublication) {
+    return;
+  }
+  aLeader.mNextPublication = aLeader.mNow + kPublishInterval;
+  const Observations& published = aLeader.mState->LatestObservations();
+  Observations observations = published;
+  bool differs = false;
+  for (const Source& source : kSources) {
+    source.mCollect(aLeader, observations);
+    differs = differs || source.mDiffers(published, observations);
+  }
+  if (differs) {
+    Propose(aLeader, RecordObservations{ std::move(observations) });
+  }
+}
+
+void
+AdoptObservations(LeaderContext& aLeader)
+{
+  aLeader.mNextPublication = aLeader.mNow + kPublishInterval;
+  for (const Source& source : kSources) {
+    source.mAdopt(aLeader, aLeader.mState->LatestObservations());
+  }
+}
+
+} // namespace dogwooddrum::coordination::workloads
--- a/dogwooddrum/coordination/workloads/Runs.cpp
+++ b/dogwooddrum/coordination/workloads/Runs.cpp
@@ -53,6 +53,27 @@
                   base::Duration::zero());
 }
 
+void
+LearnSpeed(LeaderContext& aLeader,
+           const Worker& aWorker,
+           const protocol::RunningTask& aRunning)
+{
+  const TaskId& task = aRunning.mRun.mTask;
+  const auto* workload = aLeader.mState->Find(task.mWorkload);
+  if (!aLeader.mOptions.mPolicies.mWorkerSpeeds || workload == nullptr ||
+      StepOf(*workload, task).mLongRunning) {
+    return;
+  }
+  const base::RackId& data = StepOf(*workload, task).mDataRack;
+  const bool isRemote =
+    !data.Value().empty() && data != aWorker.mTargetInfo.mRack;
+  aLeader.mWorkerSpeeds.Add(aWorker.mAgentName,
+                            aRunning.mRun,
+                            aRunning.mPercent,
+                            isRemote,
+                            aLeader.mNow);
+}
+
 void
 AddOpenRun(LeaderContext& aLeader, const RunId& aRun, const TaskRecord& aTask)
 {
--- a/dogwooddrum/coordination/workloads/WorkerViews.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -122,6 +122,7 @@
                    worker.mSession != Session() &&
                    aLeader.mNow - worker.mListedAt < kMaxListAgeForStarts;
     view.mSuspect = IsSuspect(aLeader, worker);
+    view.mSlowness = aLeader.mWorkerSpeeds.SlownessOf(worker.mAgentName);
     index.emplace(incarnation, views.size());
     views.push_back(std::move(view));
   }
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -454,6 +454,7 @@
       open.mCheckpointedAt = aLeader.mNow;
     }
     UpdateProgress(open.mProgress, running.mPercent, aLeader.mNow);
+    LearnSpeed(aLeader, aWorker, running);
     const auto whole = ProjectedRunTime(open.mProgress);
     if (whole && aLeader.mOptions.mPolicies.mLearnedRunTimes) {
       aLeader.mRunTimeEstimator.AddStepSample(running.mRun.mTask, *whole);
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -1,6 +1,7 @@
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
 
 #include "dogwooddrum/coordination/workloads/LeaderContext.h"
+#include "dogwooddrum/coordination/workloads/ObservationPublisher.h"
 
 #include <utility>
 
@@ -276,6 +277,7 @@
       leader.mAgents[agent].mTarget = target;
     }
   }
+  AdoptObservations(leader);
   StoreCatalogForDeltas(leader);
   for (const WorkloadId& id : leader.mState->Active()) {
     const WorkloadRecord* workload = leader.mState->Find(id);
@@ -380,6 +382,7 @@
       Decide(leader);
     }
     SendOrders(leader);
+    PublishObservations(leader);
   }
   return std::exchange(leader.mOutput, WorkloadSchedulerOutput{});
 }
