Bound the requests of a server together

Cause: the parser's buffer had no limit, so that trailers and chunk extensions grew it with each byte; unfinished bodies were bounded only one by one; and at the limit of connections each new caller was refused while the others only waited.

Change: the buffer has the size of a header and one read. The bytes beside a body are bounded by the body's size, the number of fields and query parameters by max_fields, the time of a header and of a whole request by header_timeout_ms and receive_timeout_ms. ConnectionTable decides without a network which connection is closed: at the limit of connections the one that has waited longest, over request_memory_mb the largest unfinished request (503, not run). Requests that are complete are never shed. Each reason is counted in http_refused_total.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -51,16 +51,21 @@
 
 # Adds one test program per .cpp file of the calling folder.
 #
-# dogwooddrum_tests(LABEL label DEPENDS target...)
+# dogwooddrum_tests(LABEL label DEPENDS target... [SERIAL program...])
+# ctest runs the tests of SERIAL programs apart from all others.
 function(dogwooddrum_tests)
-  cmake_parse_arguments(ARG "" "LABEL" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "LABEL" "DEPENDS;SERIAL" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   foreach(source ${sources})
     get_filename_component(name ${source} NAME_WE)
     add_executable(${name} ${source})
     target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} GTest::gtest GTest::gtest_main)
+    set(serial FALSE)
+    if(name IN_LIST ARG_SERIAL)
+      set(serial TRUE)
+    endif()
     gtest_discover_tests(${name} PROPERTIES LABELS "${ARG_LABEL}" TIMEOUT 300
-      DISCOVERY_TIMEOUT 60)
+      RUN_SERIAL ${serial} DISCOVERY_TIMEOUT 60)
   endforeach()
 endfunction()
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -244,7 +244,9 @@
     mOperatorServer = std::make_unique<OperatorServer>(
       *mContext.mNetwork, *mContext.mAdapters->mOperators, mLoop);
     return mOperatorServer->Listen(
-      ToTransportAddress(*mSettings.mOperatorAddress), *mCore);
+      ToTransportAddress(*mSettings.mOperatorAddress),
+      MakeHttpOptions(mContext),
+      *mCore);
   }
 
   void Tick(base::Time aNow)
--- a/dogwooddrum/daemon/Daemon.cpp
+++ b/dogwooddrum/daemon/Daemon.cpp
@@ -147,7 +147,7 @@
   std::optional<std::string> Listen()
   {
     const auto& common = mContext.mSettings.mCommon;
-    transport::HttpServerOptions options;
+    auto options = MakeHttpOptions(mContext);
     if (common.mRole == service::Role::Entry) {
       options.mMaxConnections = mContext.mSettings.mEntry.mConnections;
     }
@@ -189,9 +189,10 @@
         mLifeCycle.CurrentPhase() == Phase::Serving && mHost->IsReady() ? 1
                                                                         : 0);
       mHost->UpdateMetrics();
-      aResponder(MakeTextResponse(200,
-                                  mContext.mMetrics->Render() +
-                                    RenderLinkMetrics(*mContext.mCounters)));
+      aResponder(MakeTextResponse(
+        200,
+        mContext.mMetrics->Render() + RenderLinkMetrics(*mContext.mCounters) +
+          RenderHttpMetrics(*mContext.mHttpCounters)));
     } else if (!mHost->Handle(aRequest, aResponder)) {
       aResponder(MakeTextResponse(404, "no such path\n"));
     }
@@ -354,10 +355,12 @@
   context.mSettings = *settings;
   service::Metrics metrics;
   transport::LinkCounters counters;
+  transport::HttpCounters httpCounters;
   transport::Network network(context.mSettings.mCommon.mNetworkThreads);
   context.mNetwork = &network;
   context.mMetrics = &metrics;
   context.mCounters = &counters;
+  context.mHttpCounters = &httpCounters;
   context.mAdapters = &aAdapters;
   Process process(context, signals, aSettingsFile, *text);
   const int status = process.Run();
--- a/dogwooddrum/daemon/Host.cpp
+++ b/dogwooddrum/daemon/Host.cpp
@@ -12,6 +12,32 @@
 
 } // namespace
 
+transport::HttpServerOptions
+MakeHttpOptions(const HostContext& aContext)
+{
+  const auto& common = aContext.mSettings.mCommon;
+  transport::HttpServerOptions options;
+  options.mMaxRequestBytes = std::uint64_t{ common.mRequestMemoryMb } << 20;
+  options.mMaxFields = common.mMaxFields;
+  options.mHeaderTimeout = common.mHeaderTimeout;
+  options.mRequestTimeout = common.mReceiveTimeout;
+  options.mCounters = aContext.mHttpCounters;
+  return options;
+}
+
+std::string
+RenderHttpMetrics(const transport::HttpCounters& aCounters)
+{
+  std::string out = "# TYPE dogwooddrum_http_refused_total counter\n";
+  for (std::size_t i = 0; i < transport::kHttpRefusalCount; ++i) {
+    out +=
+      "dogwooddrum_http_refused_total{reason=\"" +
+      std::string(transport::ToString(static_cast<transport::HttpRefusal>(i))) +
+      "\"} " + std::to_string(aCounters.mRefused.at(i).load()) + "\n";
+  }
+  return out;
+}
+
 transport::LinkOptions
 MakeLinkOptions(const HostContext& aContext,
                 transport::PeerRole aRole,
--- a/dogwooddrum/daemon/Host.h
+++ b/dogwooddrum/daemon/Host.h
@@ -26,6 +26,7 @@
   transport::Network* mNetwork = nullptr;
   service::Metrics* mMetrics = nullptr;
   transport::LinkCounters* mCounters = nullptr;
+  transport::HttpCounters* mHttpCounters = nullptr;
   const Adapters* mAdapters = nullptr;
 };
 
@@ -79,6 +80,14 @@
 std::unique_ptr<Host>
 MakeWorkloadAgentHost(HostContext& aContext);
 
+/** Returns the options of a server whose callers may be outside the limits. */
+transport::HttpServerOptions
+MakeHttpOptions(const HostContext& aContext);
+
+/** Returns the text of the counters in the Prometheus format. */
+std::string
+RenderHttpMetrics(const transport::HttpCounters& aCounters);
+
 /** Returns the link options of this process. */
 transport::LinkOptions
 MakeLinkOptions(const HostContext& aContext,
--- a/dogwooddrum/daemon/JobEntryRoutes.cpp
+++ b/dogwooddrum/daemon/JobEntryRoutes.cpp
@@ -168,6 +168,9 @@
       return true;
     }
     (this->*row.mHandler)(call);
+    // A call may wait for minutes; its body was decoded.
+    call->mRequest.mBody = {};
+    call->mRequest.mHeldBytes.reset();
     return true;
   }
   return false;
--- a/dogwooddrum/daemon/OperatorServer.cpp
+++ b/dogwooddrum/daemon/OperatorServer.cpp
@@ -24,16 +24,17 @@
 }
 
 base::Outcome<bool>
-OperatorServer::Listen(const transport::Address& aAddress, ControlCore& aCore)
+OperatorServer::Listen(const transport::Address& aAddress,
+                       transport::HttpServerOptions aOptions,
+                       ControlCore& aCore)
 {
   mCore = &aCore;
   mPort = aAddress.mPort;
-  transport::HttpServerOptions options;
-  options.mMaxBodyBytes = kMaxBodyBytes;
+  aOptions.mMaxBodyBytes = kMaxBodyBytes;
   auto server = transport::HttpServer::Listen(
     mNetwork,
     aAddress,
-    options,
+    aOptions,
     [this](const transport::ServerRequest& aRequest,
            const transport::ServerResponder& aResponder) {
       Handle(aRequest, aResponder);
--- a/dogwooddrum/daemon/OperatorServer.h
+++ b/dogwooddrum/daemon/OperatorServer.h
@@ -30,6 +30,7 @@
                  EventLoop& aLoop);
   /** Starts the server; calls are passed to aCore on the decision thread. */
   base::Outcome<bool> Listen(const transport::Address& aAddress,
+                             transport::HttpServerOptions aOptions,
                              ControlCore& aCore);
   /** Passes later calls to aCore. */
   void SetCore(ControlCore& aCore);
--- a/dogwooddrum/daemon/WorkloadAgentHost.cpp
+++ b/dogwooddrum/daemon/WorkloadAgentHost.cpp
@@ -234,7 +234,7 @@
     auto server = transport::HttpServer::Listen(
       *mContext.mNetwork,
       ToTransportAddress(*mSettings.mAnnounceAddress),
-      {},
+      MakeHttpOptions(mContext),
       [this](const transport::ServerRequest& aRequest,
              const transport::ServerResponder& aResponder) {
         OnTargetMessage(aRequest, aResponder);
--- a/dogwooddrum/daemon/WorkloadEntryHost.cpp
+++ b/dogwooddrum/daemon/WorkloadEntryHost.cpp
@@ -137,7 +137,7 @@
       MakeLinkOptions(mContext, transport::PeerRole::Entry, 0),
       events,
       *mContext.mCounters);
-    transport::HttpServerOptions options;
+    auto options = MakeHttpOptions(mContext);
     options.mMaxConnections = mSettings.mConnections;
     auto server = transport::HttpServer::Listen(
       *mContext.mNetwork,
@@ -156,7 +156,7 @@
       auto probe = transport::HttpServer::Listen(
         *mContext.mNetwork,
         ToTransportAddress(*mSettings.mReadinessAddress),
-        {},
+        MakeHttpOptions(mContext),
         [this](const transport::ServerRequest& aRequest,
                const transport::ServerResponder& aResponder) {
           OnProbe(aRequest, aResponder);
--- a/dogwooddrum/service/Settings.h
+++ b/dogwooddrum/service/Settings.h
@@ -72,6 +72,10 @@
   base::Duration mDrainDelay{};
   base::Duration mShutdownLimit{}; ///< 0: none
   std::uint32_t mNetworkThreads = 1;
+  std::uint32_t mRequestMemoryMb = 0; ///< of the requests of one HTTP port
+  std::uint32_t mMaxFields = 0;       ///< of one HTTP request
+  base::Duration mHeaderTimeout{};
+  base::Duration mReceiveTimeout{}; ///< of a whole HTTP request
 };
 
 /** Section [entry]. */
--- a/dogwooddrum/transport/HttpServer.cpp
+++ b/dogwooddrum/transport/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "dogwooddrum/transport/HttpServer.h"
 
+#include "dogwooddrum/transport/ConnectionTable.h"
 #include "dogwooddrum/transport/NetworkImpl.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -10,7 +11,9 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <chrono>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace dogwooddrum::transport {
@@ -26,6 +29,22 @@
 constexpr std::uint64_t kMaxLingerBytes = 16ULL << 20;
 constexpr std::size_t kDiscardBytes = 16U << 10;
 
+/** Most bytes of a read. */
+constexpr std::size_t kReadBytes = 16U << 10;
+/** An idle connection keeps a buffer of at most this capacity. */
+constexpr std::size_t kIdleBufferBytes = 2U << 10;
+
+constexpr std::array<std::string_view, kHttpRefusalCount> kRefusalNames = {
+  "too_many_connections",
+  "connection_shed",
+  "memory_shed",
+  "header_too_large",
+  "body_too_large",
+  "framing_too_large",
+  "malformed",
+  "timed_out"
+};
+
 /** Delay after a failed accept. */
 constexpr base::Duration kAcceptRetryDelay = base::Milliseconds(50);
 
@@ -84,29 +103,56 @@
 /** State shared by the sessions of a server. */
 struct SharedState
 {
-  HttpServerOptions mOptions;
-  ServerHandler mHandler;
+  SharedState(const HttpServerOptions& aOptions, ServerHandler aHandler)
+    : mOptions(aOptions)
+    , mHandler(std::move(aHandler))
+    , mTable(aOptions.mMaxConnections, aOptions.mMaxRequestBytes)
+  {
+  }
+
+  void Count(HttpRefusal aReason) const
+  {
+    if (mOptions.mCounters != nullptr) {
+      ++mOptions.mCounters->mRefused.at(static_cast<std::size_t>(aReason));
+    }
+  }
+  /** Returns the session, or null if it has ended. Precondition: mMutex is
+   * held. */
+  std::shared_ptr<Session> Find(std::optional<ConnectionTable::Id> aId) const
+  {
+    const auto it = aId ? mSessions.find(*aId) : mSessions.end();
+    return it == mSessions.end() ? nullptr : it->second.lock();
+  }
+
+  const HttpServerOptions mOptions;
+  const ServerHandler mHandler;
   std::atomic<bool> mDraining{ false };
   std::atomic<std::size_t> mInProgress{ 0 };
-  std::atomic<std::uint64_t> mRefused{ 0 };
-  std::mutex mMutex; ///< guards mSessions
-  std::unordered_map<Session*, std::weak_ptr<Session>> mSessions;
+  std::mutex mMutex; ///< guards the members below
+  ConnectionTable mTable;
+  ConnectionTable::Id mLastId = 0;
+  std::unordered_map<ConnectionTable::Id, std::weak_ptr<Session>> mSessions;
 };
 
 /** One connection. Members are accessed on the strand of the stream only. */
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-  Session(tcp::socket aSocket, std::shared_ptr<SharedState> aShared)
+  Session(tcp::socket aSocket,
+          std::shared_ptr<SharedState> aShared,
+          ConnectionTable::Id aId)
     : mStream(std::move(aSocket))
     , mSharedState(std::move(aShared))
+    , mId(aId)
+    , mBuffer(mSharedState->mOptions.mMaxHeaderBytes + kReadBytes)
   {
   }
 
   ~Session()
   {
     const std::lock_guard<std::mutex> lock(mSharedState->mMutex);
-    mSharedState->mSessions.erase(this);
+    mSharedState->mTable.Remove(mId);
+    mSharedState->mSessions.erase(mId);
   }
 
   void Start()
@@ -129,55 +175,207 @@
     });
   }
 
+  /** Refuses the request that is being read, or closes a connection without
+   * one. A request that has become complete is still handled. */
+  void Shed(HttpRefusal aReason)
+  {
+    asio::post(mStream.get_executor(), [self = shared_from_this(), aReason] {
+      if (self->mBusy) {
+        self->mMustClose = true;
+        return;
+      }
+      self->mSharedState->Count(aReason);
+      if (self->mRefused) {
+        self->mStream.close();
+        return;
+      }
+      self->mIsShed = true;
+      self->mStream.cancel();
+    });
+  }
+
 private:
+  using Clock = std::chrono::steady_clock;
+
   void Read()
   {
     mParser.emplace();
+    mParser->eager(true);
     mParser->header_limit(mSharedState->mOptions.mMaxHeaderBytes);
     mParser->body_limit(mSharedState->mOptions.mMaxBodyBytes);
-    mStream.expires_after(mSharedState->mOptions.mIdleTimeout);
-    http::async_read(
-      mStream,
-      mBuffer,
-      *mParser,
-      [self = shared_from_this()](beast::error_code aError, std::size_t) {
-        self->OnRead(aError);
-      });
+    mParsedBytes = 0;
+    mIsHeaderChecked = false;
+    mIsIdle = true;
+    if (mBuffer.size() == 0 && mBuffer.capacity() > kIdleBufferBytes) {
+      mBuffer.shrink_to_fit();
+    }
+    {
+      const std::lock_guard<std::mutex> lock(mSharedState->mMutex);
+      mSharedState->mTable.BeginReading(mId);
+    }
+    Parse();
   }
 
-  void OnRead(beast::error_code aError)
+  void ReadMore()
   {
-    if (aError == http::error::body_limit) {
-      Refuse(413, "body exceeds the limit");
+    const auto space =
+      std::min(kReadBytes, mBuffer.max_size() - mBuffer.size());
+    if (space == 0) {
+      Refuse(431, HttpRefusal::HeaderTooLarge, "header exceeds the limit");
       return;
     }
-    if (aError == http::error::header_limit) {
-      Refuse(431, "header exceeds the limit");
+    if (mIsIdle) {
+      mStream.expires_after(mSharedState->mOptions.mIdleTimeout);
+    } else {
+      mStream.expires_at(mFirstByteAt +
+                         (mParser->is_header_done()
+                            ? mSharedState->mOptions.mRequestTimeout
+                            : mSharedState->mOptions.mHeaderTimeout));
+    }
+    mStream.async_read_some(
+      mBuffer.prepare(mIsIdle ? std::min(space, kIdleBufferBytes) : space),
+      [self = shared_from_this()](beast::error_code aError,
+                                  std::size_t aBytes) {
+        self->OnReceived(aError, aBytes);
+      });
+  }
+
+  void OnReceived(beast::error_code aError, std::size_t aBytes)
+  {
+    mBuffer.commit(aBytes);
+    if (!aError) {
+      Parse();
       return;
     }
-    if (aError == http::error::end_of_stream || !mParser->got_some() ||
-        aError == beast::error::timeout ||
-        aError.category() !=
-          http::make_error_code(http::error::bad_method).category()) {
-      if (aError) {
-        mStream.close();
-        return;
+    const bool timedOut = aError == beast::error::timeout;
+    if (mIsShed && !mIsIdle && aError == asio::error::operation_aborted) {
+      RefuseShed();
+    } else if (aError == asio::error::eof && !mIsIdle) {
+      Refuse(400, HttpRefusal::Malformed, "malformed request");
+    } else {
+      if (timedOut && !mIsIdle) {
+        mSharedState->Count(HttpRefusal::TimedOut);
       }
+      mStream.close();
     }
-    if (aError) {
-      Refuse(400, "malformed request");
+  }
+
+  /** Parses the received bytes and reads more if the request needs them. */
+  void Parse()
+  {
+    if (mIsIdle && mBuffer.size() > 0) {
+      mIsIdle = false;
+      mFirstByteAt = Clock::now();
+    }
+    beast::error_code ec;
+    while (!ec && mBuffer.size() > 0 && !mParser->is_done()) {
+      const auto parsed = mParser->put(mBuffer.data(), ec);
+      mBuffer.consume(parsed);
+      mParsedBytes += parsed;
+    }
+    if (ec && ec != http::error::need_more) {
+      OnMalformed(ec);
+    } else if (!IsWithinLimits()) {
       return;
+    } else if (mParser->is_done()) {
+      Handle();
+    } else if (mIsShed) {
+      RefuseShed();
+    } else {
+      CountBytes();
+      ReadMore();
     }
-    Handle();
+  }
+
+  void OnMalformed(beast::error_code aError)
+  {
+    if (aError == http::error::body_limit) {
+      Refuse(413, HttpRefusal::BodyTooLarge, "body exceeds the limit");
+    } else if (aError == http::error::header_limit) {
+      Refuse(431, HttpRefusal::HeaderTooLarge, "header exceeds the limit");
+    } else {
+      Refuse(400, HttpRefusal::Malformed, "malformed request");
+    }
+  }
+
+  /** Refuses a request with too many fields, trailers or bytes around its body.
+   * Returns false if it did. */
+  bool IsWithinLimits()
+  {
+    if (!mParser->is_header_done()) {
+      return true;
+    }
+    const auto& options = mSharedState->mOptions;
+    const auto& message = mParser->get();
+    if (!mIsHeaderChecked || mParser->is_done()) {
+      mIsHeaderChecked = true;
+      const auto fields = std::distance(message.begin(), message.end());
+      if (static_cast<std::uint64_t>(fields) > options.mMaxFields) {
+        Refuse(431, HttpRefusal::HeaderTooLarge, "too many fields");
+        return false;
+      }
+      const auto target = message.target();
+      if (std::count(target.begin(), target.end(), '&') >
+          static_cast<std::ptrdiff_t>(options.mMaxFields)) {
+        Refuse(400, HttpRefusal::HeaderTooLarge, "too many parameters");
+        return false;
+      }
+    }
+    const std::uint64_t bodyBytes = message.body().size();
+    // The header and the trailers each have the limit of a header.
+    if (mParsedBytes - bodyBytes >
+        MaxFramingBytes(2ULL * options.mMaxHeaderBytes, bodyBytes)) {
+      Refuse(400, HttpRefusal::FramingTooLarge, "chunk framing too large");
+      return false;
+    }
+    return true;
+  }
+
+  /** Returns the bytes that the request holds in memory, about. */
+  std::size_t RequestBytes() const
+  {
+    const auto body =
+      mParser->is_header_done() ? mParser->get().body().size() : 0;
+    return static_cast<std::size_t>(std::min<std::uint64_t>(
+             mParsedBytes - body, mSharedState->mOptions.mMaxHeaderBytes)) +
+           body;
+  }
+
+  void CountBytes()
+  {
+    std::shared_ptr<Session> shed;
+    {
+      const std::lock_guard<std::mutex> lock(mSharedState->mMutex);
+      shed = mSharedState->Find(mSharedState->mTable.SetBytes(
+        mId, RequestBytes() + mBuffer.capacity()));
+    }
+    if (shed) {
+      shed->Shed(HttpRefusal::MemoryShed);
+    }
+  }
+
+  /** Moves the bytes of the request from the connection to the request. */
+  std::shared_ptr<void> HoldBytes()
+  {
+    const auto bytes = RequestBytes();
+    const std::lock_guard<std::mutex> lock(mSharedState->mMutex);
+    mSharedState->mTable.SetBytes(mId, 0);
+    mSharedState->mTable.Hold(bytes);
+    return { nullptr, [shared = mSharedState, bytes](void*) {
+              const std::lock_guard<std::mutex> releaseLock(shared->mMutex);
+              shared->mTable.Release(bytes);
+            } };
   }
 
   void Handle()
   {
+    mIsShed = false;
+    ServerRequest request;
+    request.mHeldBytes = HoldBytes();
     auto message = mParser->release();
     mKeepAlive = message.keep_alive();
     mVersion = message.version();
     mIsHeadRequest = message.method() == http::verb::head;
-    ServerRequest request;
     request.mMethod = std::string(message.method_string());
     ParseTarget(std::string(message.target()), request);
     request.mAuthorization = std::string(message[http::field::authorization]);
@@ -190,6 +388,7 @@
       request.mHeaders[name] = std::string(field.value());
     }
     request.mBody = std::move(message.body());
+    mParser.reset();
     BeginRequest();
     mSharedState->mHandler(
       std::move(request),
@@ -202,19 +401,43 @@
   {
     mBusy = true;
     ++mSharedState->mInProgress;
+    {
+      const std::lock_guard<std::mutex> lock(mSharedState->mMutex);
+      mSharedState->mTable.BeginHandling(mId);
+    }
     mStream.expires_never();
   }
 
-  void Refuse(unsigned aStatus, const char* aReason)
+  void Refuse(unsigned aStatus, HttpRefusal aReason, const char* aMessage)
+  {
+    mSharedState->Count(aReason);
+    Refuse(
+      aStatus, R"("invalid_request","ran":"not_run","retry":false)", aMessage);
+  }
+
+  void RefuseShed()
+  {
+    Refuse(503,
+           R"("load_shed","ran":"not_run","retry":true)",
+           "too many requests at once");
+  }
+
+  void Refuse(unsigned aStatus, const char* aFields, const char* aMessage)
   {
     BeginRequest();
     mKeepAlive = false;
     mRefused = true;
+    mParser.reset();
+    mBuffer.clear();
+    mBuffer.shrink_to_fit();
+    {
+      const std::lock_guard<std::mutex> lock(mSharedState->mMutex);
+      mSharedState->mTable.SetBytes(mId, 0);
+    }
     ServerResponse response;
     response.mStatus = aStatus;
-    response.mBody =
-      std::string(R"({"reason":"invalid_request","ran":"not_run",)") +
-      R"("retry":false,"retry_after_ms":0,"message":")" + aReason + "\"}";
+    response.mBody = std::string(R"({"reason":)") + aFields +
+                     R"(,"retry_after_ms":0,"message":")" + aMessage + "\"}";
     Write(std::move(response));
   }
 
@@ -253,6 +476,10 @@
   {
     --mSharedState->mInProgress;
     mBusy = false;
+    if (mMustClose) {
+      mStream.close();
+      return;
+    }
     if (!aError && mResponse->keep_alive()) {
       Read();
       return;
@@ -263,6 +490,10 @@
       mStream.close();
       return;
     }
+    {
+      const std::lock_guard<std::mutex> lock(mSharedState->mMutex);
+      mSharedState->mTable.BeginReading(mId); // may be shed
+    }
     mStream.expires_after(kLingerTime);
     mDiscard.resize(kDiscardBytes);
     Linger();
@@ -287,12 +518,19 @@
 
   beast::tcp_stream mStream;
   std::shared_ptr<SharedState> mSharedState;
+  const ConnectionTable::Id mId;
   beast::flat_buffer mBuffer;
   std::optional<http::request_parser<http::string_body>> mParser;
   std::optional<http::response<http::string_body>> mResponse;
   unsigned mVersion = 11;
   bool mKeepAlive = false;
   bool mIsHeadRequest = false;
+  std::uint64_t mParsedBytes = 0; ///< of the present request
+  Clock::time_point mFirstByteAt;
+  bool mIsIdle = true; ///< no byte of a request was received
+  bool mIsHeaderChecked = false;
+  bool mIsShed = false;
+  bool mMustClose = false; ///< shed after its request was complete
   bool mBusy = false;
   bool mRefused = false; ///< part of the request may be unread
   std::vector<char> mDiscard;
@@ -303,11 +541,13 @@
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
 {
-  Impl(Network& aNetwork, std::unique_ptr<tcp::acceptor> aAcceptor)
+  Impl(Network& aNetwork,
+       std::unique_ptr<tcp::acceptor> aAcceptor,
+       std::shared_ptr<SharedState> aShared)
     : mNetwork(aNetwork)
     , mAcceptor(std::move(aAcceptor))
     , mPort(mAcceptor->local_endpoint().port())
-    , mSharedState(std::make_shared<SharedState>())
+    , mSharedState(std::move(aShared))
   {
   }
 
@@ -336,18 +576,24 @@
 
   void StartSession(tcp::socket aSocket) const
   {
-    auto session = std::make_shared<Session>(std::move(aSocket), mSharedState);
-    bool refused = false;
+    std::shared_ptr<Session> session;
+    std::shared_ptr<Session> shed;
     {
       const std::lock_guard<std::mutex> lock(mSharedState->mMutex);
-      refused = mSharedState->mSessions.size() >=
-                mSharedState->mOptions.mMaxConnections;
-      if (!refused) {
-        mSharedState->mSessions.emplace(session.get(), session);
+      const auto id = ++mSharedState->mLastId;
+      const auto admitted = mSharedState->mTable.Add(id);
+      shed = mSharedState->Find(admitted.mShed);
+      if (admitted.mIsAdmitted) {
+        session =
+          std::make_shared<Session>(std::move(aSocket), mSharedState, id);
+        mSharedState->mSessions.emplace(id, session);
       }
     }
-    if (refused) {
-      ++mSharedState->mRefused;
+    if (shed) {
+      shed->Shed(HttpRefusal::ConnectionShed);
+    }
+    if (!session) {
+      mSharedState->Count(HttpRefusal::TooManyConnections);
       return;
     }
     session->Start();
@@ -384,6 +630,12 @@
   bool mStopped = false;
 };
 
+std::string_view
+ToString(HttpRefusal aReason)
+{
+  return kRefusalNames.at(static_cast<std::size_t>(aReason));
+}
+
 base::Outcome<std::unique_ptr<HttpServer>>
 HttpServer::Listen(Network& aNetwork,
                    const Address& aAddress,
@@ -394,9 +646,10 @@
   if (!acceptor) {
     return acceptor.LastFailure();
   }
-  auto impl = std::make_shared<Impl>(aNetwork, std::move(*acceptor));
-  impl->mSharedState->mOptions = aOptions;
-  impl->mSharedState->mHandler = std::move(aHandler);
+  auto impl = std::make_shared<Impl>(
+    aNetwork,
+    std::move(*acceptor),
+    std::make_shared<SharedState>(aOptions, std::move(aHandler)));
   impl->Accept();
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
 }
@@ -423,12 +676,6 @@
   return mImpl->mSharedState->mInProgress;
 }
 
-std::uint64_t
-HttpServer::RefusedConnections() const
-{
-  return mImpl->mSharedState->mRefused;
-}
-
 std::uint16_t
 HttpServer::Port() const
 {
