Evacuate availability zones on an operator's order

Cause: POST and DELETE /-/evacuate/ZONE were answered 404, and nothing knew of an evacuated availability zone, so that work was started there.

Change: the leader commits an evacuation or its withdrawal before it answers, and then places nothing on the zone's targets, repeats no start order there and stops runs that no target has listed, so that they start elsewhere. Orders carry a time, derived from the report that they answer, after which an agent sends no start of them. Settings evacuation_time_ms and zones; events 618 and 619, a counter and a gauge.

--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -1,4 +1,4 @@
-#include "dogwooddrum/coordination/workloads/LeaderContext.h"
+#include "dogwooddrum/coordination/workloads/Evacuations.h"
 #include "dogwooddrum/coordination/workloads/Objectives.h"
 #include "dogwooddrum/coordination/workloads/Reservations.h"
 #include "dogwooddrum/coordination/workloads/Units.h"
@@ -360,8 +360,9 @@
       const auto worker = mLeader.mWorkers.find(open.mTarget);
       const auto* workload = mLeader.mState->Find(run.mTask.mWorkload);
       if (open.mStopping || open.mEnding || workload == nullptr ||
-          worker == mLeader.mWorkers.end()) {
-        continue;
+          worker == mLeader.mWorkers.end() ||
+          IsEvacuated(mLeader, worker->second.mTargetInfo.mZone)) {
+        continue; // it uses none of the capacity that is shared
       }
       const auto shares = mShares.find(worker->second.mTargetInfo.mPool);
       if (shares == mShares.end()) {
@@ -560,6 +561,7 @@
   aLeader.mNextDecision = aLeader.mNow + kDecisionInterval;
   BeginOccurrences(aLeader);
   StopRunsOnLeavingTargets(aLeader);
+  StopUnstartedRunsInEvacuatedZones(aLeader);
   StopStalledRuns(aLeader);
   aLeader.mQueueHeads.Begin(aLeader.mNow);
   Decision(aLeader).Run();
--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -52,7 +52,8 @@
   base::Time mLastGrant;
   /** Earliest time at which a leaving target is gone, if announced. */
   std::optional<base::Time> mLeavesAt;
-  std::int64_t mLeaseUntilUs = 0; ///< on the agent's clock
+  std::int64_t mLeaseUntilUs = 0;  ///< on the agent's clock
+  std::int64_t mStartsUntilUs = 0; ///< on the agent's clock; 0: no limit
   std::map<RunId, protocol::RunningTask> mReportedRuns;
   std::uint64_t mLastProposedEnd = 0; ///< number of a listed end
   std::uint64_t mAcknowledged = 0;    ///< ends up to this number are applied
@@ -133,6 +134,8 @@
   std::set<WorkloadId> mOccurrenceProposed;
   std::vector<std::pair<protocol::CatalogVersion, PendingRequest>>
     mCatalogWaiters;
+  /** Requests that wait for the commit of their changes, the oldest first. */
+  std::vector<std::pair<RecordEvacuation, PendingRequest>> mEvacuationWaiters;
   protocol::CatalogVersion mProposedVersion;
   /** Recent catalogs without mSource, as bases for deltas. */
   std::map<protocol::CatalogVersion, Catalog> mCatalogs;
--- a/dogwooddrum/coordination/workloads/Requests.cpp
+++ b/dogwooddrum/coordination/workloads/Requests.cpp
@@ -1,3 +1,4 @@
+#include "dogwooddrum/coordination/workloads/Evacuations.h"
 #include "dogwooddrum/coordination/workloads/Objectives.h"
 
 #include <algorithm>
@@ -143,14 +144,25 @@
     Reply(mLeader, mPending, std::move(reply));
   }
 
-  void operator()(const protocol::SetZoneEvacuation&) const
+  void operator()(const protocol::SetZoneEvacuation& aRequest) const
   {
-    Reply(mLeader, mPending, WorkloadResult::Unknown);
+    if (IsKnownZone(mLeader, aRequest.mZone)) {
+      ProposeEvacuation(mLeader, mPending, aRequest);
+    } else {
+      Reply(mLeader,
+            mPending,
+            WorkloadResult::Unknown,
+            "no availability zone " + aRequest.mZone.Value());
+    }
   }
 
   void operator()(const protocol::ListEvacuations&) const
   {
-    Reply(mLeader, mPending, WorkloadResult::Unknown);
+    const auto& zones = mLeader.mState->EvacuatedZones();
+    WorkloadReply reply;
+    reply.mResult = WorkloadResult::Found;
+    reply.mEvacuatedZones.assign(zones.begin(), zones.end());
+    Reply(mLeader, mPending, std::move(reply));
   }
 
   void operator()(const protocol::ReplaceCatalog& aRequest) const
@@ -257,6 +269,12 @@
       it = waiting.erase(it);
     }
   }
+  void operator()(const RecordEvacuation& aChange) const
+  {
+    if (const auto waiter = TakeEvacuationWaiter(mLeader, aChange)) {
+      Reply(mLeader, *waiter, WorkloadResult::Accepted);
+    }
+  }
   template<typename Other>
   void operator()(const Other&) const
   {
--- a/dogwooddrum/coordination/workloads/WorkerAgent.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.cpp
@@ -369,6 +369,7 @@
     mFencingToken = protocol::FencingToken(mFencingToken.Value() + 1);
   }
   mLeaseUntil = base::Time();
+  mStartsUntil = base::Time();
   mAcknowledged = 0;
   mStarts.clear();
   mStops.clear();
@@ -396,6 +397,7 @@
   mFencingToken = std::max(mFencingToken, aOrders.mFencingToken);
   mLeaseUntil =
     std::max(mLeaseUntil, base::Time(base::Duration(aOrders.mLeaseUntilUs)));
+  mStartsUntil = base::Time(base::Duration(aOrders.mStartsUntilUs));
   mAcknowledged = std::max(mAcknowledged, aOrders.mAcknowledged);
   std::map<protocol::RunId, StartState> starts;
   for (const auto& order : aOrders.mStarts) {
@@ -478,6 +480,16 @@
   return found;
 }
 
+/** Returns whether starts may be sent at aNow, as far as the lease, the
+ * knowledge of the target's runs and the time limit of the orders allow. */
+bool
+WorkerAgent::MayStart(base::Time aNow) const
+{
+  return mClockAt != base::Time() && mLeaseUntil - aNow >= mOptions.mMinLease &&
+         aNow - mListCalledAt <= mOptions.mMaxListAge &&
+         (mStartsUntil == base::Time() || aNow <= mStartsUntil);
+}
+
 std::optional<OrderCall>
 WorkerAgent::NextOrder(base::Time aNow)
 {
@@ -495,8 +507,7 @@
       return call;
     }
   }
-  if (mClockAt == base::Time() || mLeaseUntil - aNow < mOptions.mMinLease ||
-      aNow - mListCalledAt > mOptions.mMaxListAge) {
+  if (!MayStart(aNow)) {
     return std::nullopt;
   }
   for (auto& [run, start] : mStarts) {
--- a/dogwooddrum/coordination/workloads/WorkerAgent.h
+++ b/dogwooddrum/coordination/workloads/WorkerAgent.h
@@ -203,6 +203,7 @@
   std::vector<protocol::RunId> RunsThatMayRun() const;
   bool UpdateNeverRan(base::Time aCalledAt);
   void RejectPendingStarts(const std::string& aReason);
+  bool MayStart(base::Time aNow) const;
 
   const WorkerAgentOptions mOptions;
   std::uint64_t mReportSequence = 0;
@@ -222,6 +223,7 @@
     mFencingToken;              ///< for mTarget; 0: no orders for it yet
   std::uint64_t mTokenStep = 0; ///< by which mFencingToken was last raised
   base::Time mLeaseUntil;
+  base::Time mStartsUntil; ///< of mStarts; 0: no limit
   std::uint64_t mAcknowledged = 0;
   std::map<protocol::RunId, StartState> mStarts;
   std::map<protocol::RunId, StopState> mStops;
--- a/dogwooddrum/coordination/workloads/WorkerViews.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -1,5 +1,7 @@
 #include "dogwooddrum/coordination/workloads/WorkerViews.h"
 
+#include "dogwooddrum/coordination/workloads/Evacuations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -120,6 +122,7 @@
     view.mFree = view.mCapacity;
     view.mUsable = worker.mHasLease && !worker.mTargetInfo.mLeaving &&
                    worker.mSession != Session() &&
+                   !IsEvacuated(aLeader, view.mZone) &&
                    aLeader.mNow - worker.mListedAt < kMaxListAgeForStarts;
     view.mSuspect = IsSuspect(aLeader, worker);
     index.emplace(incarnation, views.size());
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -1,4 +1,4 @@
-#include "dogwooddrum/coordination/workloads/LeaderContext.h"
+#include "dogwooddrum/coordination/workloads/Evacuations.h"
 
 #include <algorithm>
 
@@ -472,8 +472,10 @@
   orders.mSequence = ++aLeader.mOrderSequence;
   orders.mTargetIncarnation = aTargetIncarnation;
   orders.mLeaseUntilUs = aWorker.mLeaseUntilUs;
+  orders.mStartsUntilUs = aWorker.mStartsUntilUs;
   orders.mAcknowledged = aWorker.mAcknowledged;
   orders.mMembers = aLeader.mMembers;
+  const bool mayStart = !IsEvacuated(aLeader, aWorker.mTargetInfo.mZone);
   for (const auto& [run, open] : aLeader.mRuns) {
     if (open.mTarget != aTargetIncarnation || !open.mCommitted ||
         open.mEnding) {
@@ -485,8 +487,8 @@
     }
     const auto* workload = aLeader.mState->Find(run.mTask.mWorkload);
     const auto* task = aLeader.mState->Find(run.mTask);
-    if (aWorker.mReportedRuns.count(run) == 0 && workload != nullptr &&
-        task != nullptr) {
+    if (mayStart && aWorker.mReportedRuns.count(run) == 0 &&
+        workload != nullptr && task != nullptr) {
       orders.mStarts.push_back(
         { run, workload->mSpec.mPayload, task->mCheckpoint });
     }
@@ -611,6 +613,7 @@
   worker.mLastGrant = aLeader.mNow;
   worker.mLeaseUntilUs =
     aReport.mSentAtUs + aLeader.mOptions.mTaskLease.count();
+  worker.mStartsUntilUs = StartsUntilUs(aLeader, aReport);
 }
 
 void
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -1,6 +1,6 @@
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
 
-#include "dogwooddrum/coordination/workloads/LeaderContext.h"
+#include "dogwooddrum/coordination/workloads/Evacuations.h"
 
 #include <utility>
 
@@ -198,9 +198,9 @@
   }
   void operator()(const PurgeEnded&) const {}
   void operator()(const BindTarget&) const {}
-  void operator()(const RecordEvacuation&) const
+  void operator()(const RecordEvacuation& aChange) const
   {
-    mLeader.mDecisionDue = true;
+    OnEvacuationApplied(mLeader, aChange);
   }
   void operator()(const RecordObservations&) const {}
   void operator()(const RecordCrash& aChange) const
@@ -308,11 +308,15 @@
   for (const auto& [version, waiter] : leader.mCatalogWaiters) {
     sessions.insert(waiter.mSession);
   }
+  for (const auto& [change, waiter] : leader.mEvacuationWaiters) {
+    sessions.insert(waiter.mSession);
+  }
   leader.mOutput = WorkloadSchedulerOutput{};
   leader.mOutput.mRedirects.assign(sessions.begin(), sessions.end());
   leader.mPendingSubmits.clear();
   leader.mPendingCancels.clear();
   leader.mCatalogWaiters.clear();
+  leader.mEvacuationWaiters.clear();
 }
 
 bool
@@ -321,7 +325,8 @@
   const auto& body = aRequest.mBody;
   return std::holds_alternative<protocol::ReadWorkload>(body) ||
          std::holds_alternative<protocol::CountWaitingWorkloads>(body) ||
-         std::holds_alternative<protocol::ReadCatalog>(body);
+         std::holds_alternative<protocol::ReadCatalog>(body) ||
+         std::holds_alternative<protocol::ListEvacuations>(body);
 }
 
 void
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.h
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.h
@@ -13,6 +13,7 @@
 #include "dogwooddrum/coordination/workloads/State.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -45,6 +46,11 @@
   base::Duration mSuspectTime = std::chrono::seconds(8);
   /** Most workloads that have not ended. */
   std::size_t mMaxActive = 20000;
+  /** Longest time after the acknowledgement of a zone's evacuation in which
+   * runs may still begin there; 0: no limit. */
+  base::Duration mEvacuationTime{};
+  /** Availability zones that operators may evacuate; empty: not known. */
+  std::set<base::ZoneId> mZones;
   PlacementOptions mPlacement;
   HeadroomOptions mHeadroom;
   Policies mPolicies;
@@ -70,6 +76,8 @@
     QueueHeadWaited,
     QueueHeadOverdue,
     TargetCrashed,
+    ZoneEvacuated,
+    ZoneRestored,
   };
   Kind mKind = Kind::Accepted;
   std::vector<std::pair<std::string_view, std::string>> mFields;
--- a/dogwooddrum/daemon/Adapters.h
+++ b/dogwooddrum/daemon/Adapters.h
@@ -75,6 +75,8 @@
 /** A call of an operator, or the response to a call that is not valid. */
 using OperatorCall = std::variant<protocol::ReplaceCatalog,
                                   protocol::ReadCatalog,
+                                  protocol::SetZoneEvacuation,
+                                  protocol::ListEvacuations,
                                   transport::ServerResponse>;
 
 /** Decodes the calls of operators at a control member and renders the
--- a/dogwooddrum/daemon/ControlCore.cpp
+++ b/dogwooddrum/daemon/ControlCore.cpp
@@ -227,6 +227,7 @@
     mStatus.mConfigurationVersion =
       mCoordinator.Configuration().mVersion.Value();
     mStatus.mActiveJobs = mCoordinator.ActiveJobs();
+    mStatus.mEvacuatedZones = mCoordinator.Workloads().EvacuatedZones().size();
   }
 
   /** Returns the number of entries that the slowest voter lacks; 0 if this
--- a/dogwooddrum/daemon/ControlCore.h
+++ b/dogwooddrum/daemon/ControlCore.h
@@ -57,6 +57,7 @@
   std::atomic<std::uint64_t> mAppliedIndex{ 0 };
   std::atomic<std::uint64_t> mConfigurationVersion{ 0 };
   std::atomic<std::uint64_t> mActiveJobs{ 0 };
+  std::atomic<std::uint64_t> mEvacuatedZones{ 0 };
   std::atomic<bool> mStorageFailed{ false };
   std::atomic<bool> mHasOtherVoters{ false };
   /** Since when no leader is known; the epoch: one is known. */
--- a/dogwooddrum/daemon/ControlCoreSettings.cpp
+++ b/dogwooddrum/daemon/ControlCoreSettings.cpp
@@ -1,9 +1,29 @@
 #include "dogwooddrum/daemon/ControlCoreSettings.h"
 
 #include <random>
+#include <sstream>
 
 namespace dogwooddrum::daemon {
 
+namespace {
+
+std::set<base::ZoneId>
+SplitZones(const std::string& aText)
+{
+  std::set<base::ZoneId> zones;
+  std::istringstream in(aText);
+  for (std::string name; std::getline(in, name, ',');) {
+    const auto first = name.find_first_not_of(' ');
+    if (first != std::string::npos) {
+      const auto last = name.find_last_not_of(' ');
+      zones.insert(base::ZoneId(name.substr(first, last - first + 1)));
+    }
+  }
+  return zones;
+}
+
+} // namespace
+
 ControlCoreOptions
 MakeCoreOptions(const service::ControlSettings& aSettings)
 {
@@ -34,6 +54,8 @@
   workloads.mTaskLease = aSettings.mTaskLease;
   workloads.mStopTime = aSettings.mStopTime;
   workloads.mRestoreTime = aSettings.mRestoreTime;
+  workloads.mEvacuationTime = aSettings.mEvacuationTime;
+  workloads.mZones = SplitZones(aSettings.mZones);
   workloads.mPolicies = aSettings.mPolicies;
   if (aSettings.mSeeds) {
     options.mRepair.emplace();
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -146,6 +146,7 @@
     set(Gauge::ReplicationLagEntries, status.mReplicationLag);
     set(Gauge::ConfigurationVersion, status.mConfigurationVersion);
     set(Gauge::ActiveJobs, status.mActiveJobs);
+    set(Gauge::EvacuatedZones, status.mEvacuatedZones);
     metrics.Set(
       Gauge::LeaderlessSeconds,
       std::chrono::duration<double>(status.LeaderlessTime(Now())).count());
--- a/dogwooddrum/daemon/Notices.cpp
+++ b/dogwooddrum/daemon/Notices.cpp
@@ -101,7 +101,7 @@
     LogEvent mEvent;
     std::optional<Counter> mCounter;
   };
-  static constexpr std::array<EventMapping, 15> kEventMappings{ {
+  static constexpr std::array<EventMapping, 17> kEventMappings{ {
     { Kind::Accepted, LogEvent::WorkloadAccepted, Counter::RequestsAccepted },
     { Kind::Rejected, LogEvent::WorkloadRejected, std::nullopt },
     { Kind::Cancelled, LogEvent::WorkloadCancelled, Counter::JobsCancelled },
@@ -123,6 +123,8 @@
       LogEvent::QueueHeadOverdue,
       Counter::QueueHeadsOverdue },
     { Kind::TargetCrashed, LogEvent::TargetCrashed, Counter::TargetCrashes },
+    { Kind::ZoneEvacuated, LogEvent::ZoneEvacuated, Counter::ZoneEvacuations },
+    { Kind::ZoneRestored, LogEvent::ZoneRestored, std::nullopt },
   } };
   for (const auto& [profile, wait] : aEvent.mHeadWaits) {
     aMetrics.Observe(
--- a/dogwooddrum/daemon/OperatorServer.cpp
+++ b/dogwooddrum/daemon/OperatorServer.cpp
@@ -12,6 +12,43 @@
 /** A log entry holds a catalog twice: as sent, and decoded. */
 constexpr std::uint64_t kMaxBodyBytes = 400U << 10;
 
+/** Returns the request of a valid call. */
+struct ToBody
+{
+  protocol::WorkloadRequestBody operator()(
+    const transport::ServerResponse&) const
+  {
+    return {}; // the call is not valid, and answered already
+  }
+  template<typename Request>
+  protocol::WorkloadRequestBody operator()(Request aRequest) const
+  {
+    return protocol::WorkloadRequestBody(std::move(aRequest));
+  }
+};
+
+/** Returns the name of a call for the log. */
+struct CallName
+{
+  const char* operator()(const protocol::ReplaceCatalog&) const
+  {
+    return "replace";
+  }
+  const char* operator()(const protocol::SetZoneEvacuation& aCall) const
+  {
+    return aCall.mEvacuated ? "evacuate" : "restore";
+  }
+  const char* operator()(const protocol::ListEvacuations&) const
+  {
+    return "zones";
+  }
+  template<typename Other>
+  const char* operator()(const Other&) const
+  {
+    return "read";
+  }
+};
+
 } // namespace
 
 OperatorServer::OperatorServer(transport::Network& aNetwork,
@@ -57,15 +94,13 @@
 {
   auto call = mProtocol.Decode(aRequest);
   if (auto* response = std::get_if<transport::ServerResponse>(&call)) {
-    Answer({ aResponder, Now(), false, {} }, std::move(*response), "invalid");
+    Call invalid;
+    invalid.mResponder = aResponder;
+    invalid.mReceivedAt = Now();
+    Answer(invalid, std::move(*response), "invalid");
     return;
   }
-  protocol::WorkloadRequestBody body;
-  if (auto* replace = std::get_if<protocol::ReplaceCatalog>(&call)) {
-    body = std::move(*replace);
-  } else {
-    body = std::get<protocol::ReadCatalog>(call);
-  }
+  protocol::WorkloadRequestBody body = std::visit(ToBody(), std::move(call));
   mLoop.Post([this, aRequest, body = std::move(body), aResponder] {
     ForwardToCore(aRequest, body, aResponder);
   });
@@ -79,8 +114,8 @@
   Call call;
   call.mResponder = aResponder;
   call.mReceivedAt = Now();
+  call.mName = std::visit(CallName(), aBody);
   if (const auto* replace = std::get_if<protocol::ReplaceCatalog>(&aBody)) {
-    call.mIsReplacement = true;
     call.mVersion = replace->mCatalog.mVersion;
   }
   if (!mCore->Status().mIsLeaderReady) {
@@ -116,7 +151,7 @@
                        const std::vector<service::LogField>& aFields)
 {
   std::vector<service::LogField> fields = {
-    { "call", aCall.mIsReplacement ? "replace" : "read" },
+    { "call", aCall.mName },
     { "version", aCall.mVersion.Value() },
     { "status", aResponse.mStatus },
     { "reason", aReason },
--- a/dogwooddrum/daemon/OperatorServer.h
+++ b/dogwooddrum/daemon/OperatorServer.h
@@ -51,7 +51,7 @@
   {
     transport::ServerResponder mResponder;
     base::Time mReceivedAt;
-    bool mIsReplacement = false;
+    const char* mName = "read";        ///< for the log
     protocol::CatalogVersion mVersion; ///< version in the call; 0: none
   };
 
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -535,6 +535,24 @@
       "failed.",
       "Check the target; if one workload's tasks are always among the runs, "
       "check that workload." },
+    { LogEvent::ZoneEvacuated,
+      LogLevel::Info,
+      "zone_evacuated",
+      "availability zone {zone} is evacuated, with {runs} runs on its targets; "
+      "{evacuated_zones} zones are evacuated",
+      "The evacuation is committed: no leader starts anything there until it "
+      "is withdrawn. Runs that are at work end by themselves; those whose "
+      "targets have not listed them are stopped and start elsewhere. Logged by "
+      "the leader for each request, also if the zone was evacuated before.",
+      "Nothing. Work that has no other place waits; watch queue_head_waited." },
+    { LogEvent::ZoneRestored,
+      LogLevel::Info,
+      "zone_restored",
+      "availability zone {zone} is in use again; {evacuated_zones} zones are "
+      "evacuated",
+      "The withdrawal of an evacuation is committed. Logged by the leader for "
+      "each request, also if the zone was not evacuated.",
+      "Nothing." },
   };
 }
 
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -109,6 +109,8 @@
   QueueHeadWaited = 615,
   QueueHeadOverdue = 616,
   TargetCrashed = 617,
+  ZoneEvacuated = 618,
+  ZoneRestored = 619,
 };
 
 /** Definition of one event. */
--- a/dogwooddrum/service/Metrics.cpp
+++ b/dogwooddrum/service/Metrics.cpp
@@ -35,30 +35,31 @@
 };
 
 constexpr std::array<MetricInfo, static_cast<std::size_t>(Counter::Count)>
-  kCounters = { {
-    { "requests_received", "Requests of callers and operators" },
-    { "requests_accepted", "Requests that were not refused" },
-    { "jobs_finished", "Jobs with a stored answer" },
-    { "jobs_failed", "Jobs that ended without an answer" },
-    { "jobs_cancelled", "Jobs cancelled by callers" },
-    { "attempts_started", "Attempts that were committed" },
-    { "tasks_started", "Tasks sent to targets" },
-    { "tasks_finished", "Tasks that targets answered" },
-    { "tasks_failed", "Tasks that failed at targets" },
-    { "preemptions", "Preempted jobs" },
-    { "elections", "Elections won by this member" },
-    { "configuration_changes", "Accepted configuration changes" },
-    { "links_opened", "Links that were established" },
-    { "log_syncs", "Syncs of the log" },
-    { "log_synced_entries", "Log entries covered by syncs" },
-    { "workers_lost", "Workers whose heartbeats stopped" },
-    { "workers_quarantined", "Workers put into quarantine" },
-    { "join_requests_sent", "Requests to join the group sent to members" },
-    { "join_requests_received", "Requests to join the group received" },
-    { "queue_heads_overdue",
-      "First units of a priority that could not start in time" },
-    { "target_crashes", "Targets that crashed with runs on them" },
-  } };
+  kCounters = {
+    { { "requests_received", "Requests of callers and operators" },
+      { "requests_accepted", "Requests that were not refused" },
+      { "jobs_finished", "Jobs with a stored answer" },
+      { "jobs_failed", "Jobs that ended without an answer" },
+      { "jobs_cancelled", "Jobs cancelled by callers" },
+      { "attempts_started", "Attempts that were committed" },
+      { "tasks_started", "Tasks sent to targets" },
+      { "tasks_finished", "Tasks that targets answered" },
+      { "tasks_failed", "Tasks that failed at targets" },
+      { "preemptions", "Preempted jobs" },
+      { "elections", "Elections won by this member" },
+      { "configuration_changes", "Accepted configuration changes" },
+      { "links_opened", "Links that were established" },
+      { "log_syncs", "Syncs of the log" },
+      { "log_synced_entries", "Log entries covered by syncs" },
+      { "workers_lost", "Workers whose heartbeats stopped" },
+      { "workers_quarantined", "Workers put into quarantine" },
+      { "join_requests_sent", "Requests to join the group sent to members" },
+      { "join_requests_received", "Requests to join the group received" },
+      { "queue_heads_overdue",
+        "First units of a priority that could not start in time" },
+      { "target_crashes", "Targets that crashed with runs on them" },
+      { "zone_evacuations", "Committed evacuations of availability zones" } }
+  };
 
 constexpr std::array<const char*,
                      static_cast<std::size_t>(PreVoteRefusal::Count)>
@@ -89,6 +90,7 @@
       "Time for which this member has known no leader; 0 if it knows one" },
     { "routeless_seconds",
       "Time without a route to a leader; 0 if there is one" },
+    { "evacuated_zones", "Availability zones in which nothing is started" },
   } };
 
 constexpr std::array<MetricInfo, static_cast<std::size_t>(Distribution::Count)>
--- a/dogwooddrum/service/Metrics.h
+++ b/dogwooddrum/service/Metrics.h
@@ -38,6 +38,7 @@
   JoinRequestsReceived,
   QueueHeadsOverdue,
   TargetCrashes,
+  ZoneEvacuations,
   // Number of counters; must stay last.
   Count,
 };
@@ -75,6 +76,7 @@
   Ready,
   LeaderlessSeconds,
   RoutelessSeconds,
+  EvacuatedZones,
   // Number of gauges; must stay last.
   Count,
 };
--- a/dogwooddrum/service/Settings.h
+++ b/dogwooddrum/service/Settings.h
@@ -118,6 +118,8 @@
   base::Duration mTaskLease{};
   base::Duration mStopTime{};
   base::Duration mRestoreTime{};
+  base::Duration mEvacuationTime{}; ///< 0: starts have no time limit
+  std::string mZones;               ///< separated by commas; empty: not known
   coordination::workloads::Policies mPolicies;
 };
 
--- a/dogwooddrum/service/SettingsKeys.cpp
+++ b/dogwooddrum/service/SettingsKeys.cpp
@@ -1,4 +1,5 @@
 #include "dogwooddrum/service/SettingsKeys.h"
+#include "dogwooddrum/service/SettingsFields.h"
 
 namespace dogwooddrum::service {
 
@@ -9,32 +10,6 @@
 constexpr std::uint64_t kHourMs = 3600000;
 constexpr std::uint64_t kMaxMemberId = 1ULL << 62;
 
-template<auto Section, auto Member>
-auto&
-FieldOf(Settings& aSettings)
-{
-  return (aSettings.*Section).*Member;
-}
-
-template<auto Section, auto Part, auto Member>
-auto&
-NestedFieldOf(Settings& aSettings)
-{
-  return ((aSettings.*Section).*Part).*Member;
-}
-
-template<auto Member>
-constexpr auto kCommonField = &FieldOf<&Settings::mCommon, Member>;
-template<auto Member>
-constexpr auto kEntryField = &FieldOf<&Settings::mEntry, Member>;
-template<auto Member>
-constexpr auto kControlField = &FieldOf<&Settings::mControl, Member>;
-template<auto Member>
-constexpr auto kPolicyField =
-  &NestedFieldOf<&Settings::mControl, &ControlSettings::mPolicies, Member>;
-template<auto Member>
-constexpr auto kAgentField = &FieldOf<&Settings::mAgent, Member>;
-
 std::vector<SettingsKey>
 CommonKeys()
 {
@@ -505,6 +480,28 @@
       "600",
       false,
       "What a task that was stopped needs to be at work again." },
+    { "control",
+      "evacuation_time_ms",
+      kControlField<&ControlSettings::mEvacuationTime>,
+      "ms",
+      0,
+      600000,
+      "0",
+      false,
+      "Longest time after the acknowledgement of a zone's evacuation in which "
+      "runs may still begin there; agents send no start on orders that are "
+      "older than half of it. 0: no limit." },
+    { "control",
+      "zones",
+      kControlField<&ControlSettings::mZones>,
+      "",
+      0,
+      kMaxPathBytes,
+      "",
+      false,
+      "Availability zones that may be evacuated besides those of known "
+      "workers, "
+      "separated by commas; empty: any." },
   };
 }
 
--- a/tests/platform/PlatformFormats.cpp
+++ b/tests/platform/PlatformFormats.cpp
@@ -188,6 +188,37 @@
   }
 }
 
+TEST(OperatorCalls, ReadsEvacuations)
+{
+  const auto operators = platform::MakeOperatorProtocol();
+  for (const bool isBegin : { true, false }) {
+    const auto call = operators->Decode(
+      MakeRequest(isBegin ? "POST" : "DELETE", "/-/evacuate/north-1"));
+    const auto* evacuation = std::get_if<protocol::SetZoneEvacuation>(&call);
+    ASSERT_NE(evacuation, nullptr);
+    EXPECT_EQ(evacuation->mZone.Value(), "north-1");
+    EXPECT_EQ(evacuation->mEvacuated, isBegin);
+  }
+}
+
+TEST(OperatorCalls, RefusesInvalidEvacuations)
+{
+  const auto operators = platform::MakeOperatorProtocol();
+  const auto statusOf = [&](const char* aMethod, const std::string& aPath) {
+    const auto call = operators->Decode(MakeRequest(aMethod, aPath));
+    const auto* response = std::get_if<transport::ServerResponse>(&call);
+    return response == nullptr ? 0 : response->mStatus;
+  };
+  EXPECT_EQ(statusOf("POST", "/-/evacuate/"), 400U);
+  EXPECT_EQ(statusOf("POST", "/-/evacuate/a/b"), 400U);
+  EXPECT_EQ(statusOf("POST", "/-/evacuate/%00"), 400U);
+  EXPECT_EQ(statusOf("POST", "/-/evacuate/" + std::string(129, 'a')), 400U);
+  EXPECT_EQ(statusOf("PUT", "/-/evacuate/a"), 405U);
+  protocol::WorkloadReply unknown;
+  unknown.mResult = protocol::WorkloadResult::Unknown;
+  EXPECT_EQ(operators->Render(unknown).mStatus, 404U);
+}
+
 TEST(OperatorCalls, RedirectsToTheLeader)
 {
   const auto response = platform::MakeOperatorProtocol()->Redirect(
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -165,6 +165,7 @@
   target->mTargetInfo.mTargetIncarnation = { "i-" + std::to_string(aWorker),
                                              mNowMs + errorMs };
   target->mTargetInfo.mPool = protocol::PoolName("pool");
+  target->mTargetInfo.mZone = base::ZoneId(ZoneOf(aWorker));
   target->mTargetInfo.mRack =
     base::RackId("r" + std::to_string(aWorker / mOptions.mWorkersPerRack));
   target->mTargetInfo.mCapacity = mOptions.mCapacity;
@@ -368,6 +369,46 @@
   Lead();
 }
 
+void
+WorkloadSimulation::SetEvacuation(const std::string& aZone, bool aEvacuated)
+{
+  protocol::WorkloadRequest request;
+  request.mBody =
+    protocol::SetZoneEvacuation{ base::ZoneId(aZone), aEvacuated };
+  mScheduler->OnRequest(Session(1), request, mNow);
+  Commit();
+}
+
+void
+WorkloadSimulation::DelayOrders(std::size_t aWorker, std::int64_t aForMs)
+{
+  mWorkers[aWorker]->mOrderDelayMs = aForMs;
+}
+
+std::uint64_t
+WorkloadSimulation::WaitingCount(const std::string& aQueue)
+{
+  protocol::WorkloadRequest request;
+  request.mBody =
+    protocol::CountWaitingWorkloads{ protocol::QueueName(aQueue) };
+  mScheduler->OnRequest(Session(1), request, mNow);
+  Commit();
+  return mWaitingCount;
+}
+
+std::set<base::ZoneId>
+WorkloadSimulation::EvacuatedZones() const
+{
+  return mState->EvacuatedZones();
+}
+
+std::string
+WorkloadSimulation::ZoneOf(std::size_t aWorker) const
+{
+  const auto perZone = mOptions.mWorkersPerZone;
+  return "z" + std::to_string(perZone == 0 ? 0 : aWorker / perZone);
+}
+
 void
 WorkloadSimulation::RunDeposedLeader()
 {
@@ -404,6 +445,7 @@
 {
   WorkloadSchedulerOptions options;
   options.mPolicies = mOptions.mPolicies;
+  options.mEvacuationTime = base::Milliseconds(mOptions.mEvacuationMs);
   mScheduler = std::make_unique<WorkloadScheduler>(options, *mState);
   mScheduler->BecomeLeader(base::Term(mTerm), mNow);
 }
@@ -430,6 +472,14 @@
           mCompletedAt.try_emplace(id, mNowMs);
         }
       }
+      if (const auto* evacuation =
+            std::get_if<RecordEvacuation>(&change.mBody)) {
+        if (evacuation->mEvacuated) {
+          mEvacuatedAt.try_emplace(evacuation->mZone, mNowMs);
+        } else {
+          mEvacuatedAt.erase(evacuation->mZone);
+        }
+      }
       mScheduler->OnApplied(change, mNow);
     }
   }
@@ -439,13 +489,18 @@
 void
 WorkloadSimulation::Deliver(WorkloadSchedulerMessage aMessage)
 {
+  if (const auto* reply =
+        std::get_if<protocol::WorkloadReply>(&aMessage.mBody)) {
+    mWaitingCount = reply->mWaitingCount;
+  }
   const auto* orders = std::get_if<protocol::WorkerOrders>(&aMessage.mBody);
   if (orders == nullptr || HappensWith(mOptions.mFaults.mLostMessages)) {
     return;
   }
   // The session of an agent is its index plus 100.
   const auto worker = aMessage.mSession.Value() - 100;
-  ScheduleAfter(kStepMs, [this, worker, received = *orders] {
+  const auto delayMs = kStepMs + mWorkers[worker]->mOrderDelayMs;
+  ScheduleAfter(delayMs, [this, worker, received = *orders] {
     if (mWorkers[worker]->mDisconnectedUntil <= mNowMs) {
       RunAtAgent(
         worker,
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -62,6 +62,10 @@
   /** Whether a crashed target returns under its id. */
   bool mCrashesKeepInstance = false;
   WorkloadFaults mFaults;
+  /** Workers of each of the zones "z0", "z1" and so on; 0: all are in "z0".
+   */
+  std::size_t mWorkersPerZone = 0;
+  std::int64_t mEvacuationMs = 0; ///< see WorkloadSchedulerOptions
   coordination::workloads::Policies mPolicies;
 };
 
@@ -127,6 +131,15 @@
   /** Stops the progress of all runs on a worker. */
   void Stall(std::size_t aWorker, std::int64_t aForMs);
   void ChangeLeader();
+  /** Requests the evacuation of a zone, or withdraws it. A start there later
+   * than mEvacuationMs after its commit is a violation. */
+  void SetEvacuation(const std::string& aZone, bool aEvacuated);
+  /** Makes orders to the agent arrive aForMs late from now on, 0: in time. */
+  void DelayOrders(std::size_t aWorker, std::int64_t aForMs);
+  /** Returns the number of waiting workloads of a queue. */
+  std::uint64_t WaitingCount(const std::string& aQueue);
+  std::set<base::ZoneId> EvacuatedZones() const;
+  std::string ZoneOf(std::size_t aWorker) const;
   void RunFor(std::int64_t aMs);
   /** Sets the probabilities of all faults to 0. */
   void ClearFaults() { mOptions.mFaults = WorkloadFaults{}; }
@@ -156,6 +169,8 @@
   void CheckCapacity(std::size_t aWorker,
                      const protocol::TaskId& aTask,
                      const std::string& aName);
+  /** Checks that the zone of a start is not evacuated. */
+  void CheckZone(std::size_t aWorker, const std::string& aName);
   void AnnounceTarget(std::size_t aWorker);
   void ProbeCandidates(std::size_t aWorker);
   void RunDeposedLeader();
@@ -210,6 +225,8 @@
   std::set<protocol::TaskId> mCommittedDone;
   std::map<protocol::TaskId, std::int64_t> mLastStartAt;
   std::set<protocol::TaskId> mAcknowledgedDone;
+  std::map<base::ZoneId, std::int64_t> mEvacuatedAt;
+  std::uint64_t mWaitingCount = 0; ///< from the newest reply
   std::vector<std::string> mViolations;
   bool mIsLateOrder = false; ///< the order being executed is a late copy
 };
--- a/tests/support/WorkloadSimulationState.h
+++ b/tests/support/WorkloadSimulationState.h
@@ -82,7 +82,8 @@
   std::int64_t mTargetDownUntil = 0;
   bool mIsTargetDead = false;
   std::int64_t mPausedUntil = 0; ///< of the agent
-  bool mIsEnding = false;        ///< a planned end is in progress
+  std::int64_t mOrderDelayMs = 0;
+  bool mIsEnding = false; ///< a planned end is in progress
 };
 
 /** A leader that does not know yet that another one was elected. It has the
--- a/tests/support/WorkloadSimulationTargets.cpp
+++ b/tests/support/WorkloadSimulationTargets.cpp
@@ -42,6 +42,18 @@
     }
   }
   CheckCapacity(aWorker, task, name);
+  CheckZone(aWorker, name);
+}
+
+void
+WorkloadSimulation::CheckZone(std::size_t aWorker, const std::string& aName)
+{
+  const auto it = mEvacuatedAt.find(base::ZoneId(ZoneOf(aWorker)));
+  if (it != mEvacuatedAt.end() && !mIsLateOrder &&
+      mNowMs - it->second > mOptions.mEvacuationMs) {
+    AddViolation("evacuation: " + aName + " starts in " + it->first.Value() +
+                 " " + std::to_string(mNowMs - it->second) + " ms after it");
+  }
 }
 
 void
