--- a/dogwooddrum/coordination/workloads/Decide.cpp
+++ b/dogwooddrum/coordination/workloads/Decide.cpp
@@ -1,4 +1,5 @@
 #include "dogwooddrum/coordination/workloads/Decision.h"
+#include "dogwooddrum/coordination/workloads/Evacuations.h"
 #include "dogwooddrum/coordination/workloads/Objectives.h"
 
 #include <algorithm>
@@ -62,6 +63,7 @@
   aLeader.mNextDecision = aLeader.mNow + kDecisionInterval;
   BeginOccurrences(aLeader);
   StopRunsOnLeavingTargets(aLeader);
+  StopUnstartedRunsInEvacuatedZones(aLeader);
   StopStalledRuns(aLeader);
   aLeader.mQueueHeads.Begin(aLeader.mNow);
   Decision(aLeader).Run();
--- a/dogwooddrum/coordination/workloads/Levels.cpp
+++ b/dogwooddrum/coordination/workloads/Levels.cpp
@@ -1,5 +1,7 @@
 #include "dogwooddrum/coordination/workloads/Levels.h"
 
+#include "dogwooddrum/coordination/workloads/Evacuations.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -50,8 +52,9 @@
     const auto worker = mLeader.mWorkers.find(open.mTarget);
     const auto* workload = mLeader.mState->Find(run.mTask.mWorkload);
     if (open.mStopping || open.mEnding || workload == nullptr ||
-        worker == mLeader.mWorkers.end()) {
-      continue;
+        worker == mLeader.mWorkers.end() ||
+        IsEvacuated(mLeader, worker->second.mTargetInfo.mZone)) {
+      continue; // it uses none of the capacity that is shared
     }
     const auto shares = mShares.find(worker->second.mTargetInfo.mPool);
     if (shares == mShares.end()) {
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -1,4 +1,4 @@
-#include "dogwooddrum/coordination/workloads/LeaderContext.h"
+#include "dogwooddrum/coordination/workloads/Evacuations.h"
 #include "dogwooddrum/protocol/Limits.h"
 
 #include <algorithm>
@@ -501,8 +501,10 @@
   orders.mSequence = ++aLeader.mOrderSequence;
   orders.mTargetIncarnation = aTargetIncarnation;
   orders.mLeaseUntilUs = aWorker.mLeaseUntilUs;
+  orders.mStartsUntilUs = aWorker.mStartsUntilUs;
   orders.mAcknowledged = aWorker.mAcknowledged;
   orders.mMembers = aLeader.mMembers;
+  const bool mayStart = !IsEvacuated(aLeader, aWorker.mTargetInfo.mZone);
   std::vector<std::pair<base::Time, RunId>> starts;
   for (const auto& [run, open] : aLeader.mRuns) {
     if (open.mTarget != aTargetIncarnation || !open.mCommitted ||
@@ -513,7 +515,7 @@
       orders.mStops.push_back(run);
       continue;
     }
-    if (aWorker.mReportedRuns.count(run) == 0) {
+    if (mayStart && aWorker.mReportedRuns.count(run) == 0) {
       starts.emplace_back(open.mStartedAt, run);
     }
   }
@@ -639,6 +641,7 @@
   worker.mLastGrant = aLeader.mNow;
   worker.mLeaseUntilUs =
     aReport.mSentAtUs + aLeader.mOptions.mTaskLease.count();
+  worker.mStartsUntilUs = StartsUntilUs(aLeader, aReport);
 }
 
 void
