Bound the answers that the HTTP clients read

Cause: as in the server, the buffer for answers had no limit, so that a target or member whose trailers or chunk extensions don't end made an agent or another caller read, and keep, whatever it sent.

Change: ResponseReader parses for both clients with a bounded buffer and a bound of the bytes beside the body. Such an answer fails with AnswerTooLarge, and its request counts as possibly run. A blocking call with too large a header now fails with that reason too, instead of MalformedFrame.

--- a/dogwooddrum/transport/AsyncHttpClient.cpp
+++ b/dogwooddrum/transport/AsyncHttpClient.cpp
@@ -1,6 +1,7 @@
 #include "dogwooddrum/transport/AsyncHttpClient.h"
 
 #include "dogwooddrum/transport/NetworkImpl.h"
+#include "dogwooddrum/transport/ResponseReader.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -29,6 +30,7 @@
     , mCall(std::move(aCall))
     , mOnSending(std::move(aOnSending))
     , mOnDone(std::move(aOnDone))
+    , mReader(mCall.mMaxAnswerBytes)
   {
   }
 
@@ -91,13 +93,21 @@
     } else {
       mStream.expires_never();
     }
-    mParser.body_limit(mCall.mMaxAnswerBytes);
-    http::async_read(
-      mStream,
-      mBuffer,
-      mParser,
-      [self = shared_from_this()](beast::error_code aReadError, std::size_t) {
-        self->Finish(aReadError, "answer");
+    ReadMore();
+  }
+
+  void ReadMore()
+  {
+    mStream.async_read_some(
+      mReader.Prepare(),
+      [self = shared_from_this()](beast::error_code aReadError,
+                                  std::size_t aBytes) {
+        self->mReader.OnReceived(aReadError, aBytes);
+        if (aReadError || self->mReader.IsDone()) {
+          self->Finish(aReadError, "answer");
+        } else {
+          self->ReadMore();
+        }
       });
   }
 
@@ -107,13 +117,14 @@
     result.mDispatched = mDispatched;
     if (mCancelled) {
       result.mReason = base::Reason::Cancelled;
-    } else if (aError == http::error::body_limit) {
+    } else if (ResponseReader::IsTooLarge(aError)) {
       result.mReason = base::Reason::AnswerTooLarge;
     } else if (aError) {
       result.mReason = base::Reason::TargetUnreachable;
     } else {
-      result.mStatus = mParser.get().result_int();
-      result.mBody = std::move(mParser.get().body());
+      auto message = mReader.Release();
+      result.mStatus = message.result_int();
+      result.mBody = std::move(message.body());
     }
     if (result.mReason != base::Reason::None) {
       result.mMessage = std::string(aStep) + " " + mCall.mAddress.mHost + ":" +
@@ -131,8 +142,7 @@
   std::function<void()> mOnSending;
   std::function<void(HttpResult)> mOnDone;
   http::request<http::string_body> mRequest;
-  http::response_parser<http::string_body> mParser;
-  beast::flat_buffer mBuffer;
+  ResponseReader mReader;
   bool mDispatched = false;
   bool mCancelled = false;
 };
--- a/dogwooddrum/transport/HttpClient.cpp
+++ b/dogwooddrum/transport/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "dogwooddrum/transport/HttpClient.h"
 
+#include "dogwooddrum/transport/ResponseReader.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -20,8 +22,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint32_t kMaxHeaderBytes = 64U << 10;
-
 std::string
 ToLower(std::string_view aText)
 {
@@ -62,7 +62,6 @@
   {
     error_code ec;
     mStream.socket().close(ec);
-    mBuffer.clear();
   }
 
   /** Runs the started operation to its end, bounded by the stream's expiry. */
@@ -113,7 +112,7 @@
     if (aEc == beast::error::timeout) {
       return base::Reason::LinkSilent;
     }
-    if (aEc == http::error::body_limit) {
+    if (ResponseReader::IsTooLarge(aEc)) {
       return base::Reason::AnswerTooLarge;
     }
     // A truncated response counts as LinkClosed, not as MalformedFrame.
@@ -141,20 +140,22 @@
         sent != asio::error::connection_reset) {
       return Fail(ReasonForError(sent), sent, "send");
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(mOptions.mMaxResponseBytes);
-    parser.header_limit(kMaxHeaderBytes);
-    http::async_read(mStream,
-                     mBuffer,
-                     parser,
-                     [&](const error_code& aEc, std::size_t) { ec = aEc; });
-    RunToCompletion();
+    ResponseReader reader(mOptions.mMaxResponseBytes);
+    ec = {};
+    while (!ec && !reader.IsDone()) {
+      mStream.async_read_some(reader.Prepare(),
+                              [&](error_code aEc, std::size_t aBytes) {
+                                reader.OnReceived(aEc, aBytes);
+                                ec = aEc;
+                              });
+      RunToCompletion();
+    }
     if (ec) {
       return sent ? Fail(ReasonForError(sent), sent, "send")
                   : Fail(ReasonForError(ec), ec, "receive");
     }
-    auto message = parser.release();
-    if (sent || !message.keep_alive()) {
+    auto message = reader.Release();
+    if (sent || reader.HasExcess() || !message.keep_alive()) {
       Close();
     }
     HttpResponse response;
@@ -170,7 +171,6 @@
   const HttpClientOptions mOptions;
   asio::io_context mIo{ 1 };
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
   std::atomic<bool> mAborted{ false };
   bool mMayHaveBeenSent = false;
 };
