Place work by the observed speeds of workers

Cause: a gang is as slow as its slowest member, and urgent work has 1.5 times its run time until it is late. Where workers take 0.7 and 1.7 times the nominal time, urgent work on a slow worker is always late, however soon it starts.

Change: urgent work, and work that would end late on the slowest worker, is placed on fast workers first; other work on slow ones first, so that the fast ones are free. Gangs try ranges of speed before all workers, so that their fast members do not wait for a slow one. Nothing waits for a speed. Workers that do not differ clearly are all of one class, so that placement there is as before.

--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -1,5 +1,7 @@
 #include "dogwooddrum/coordination/workloads/Placement.h"
 
+#include "dogwooddrum/coordination/workloads/SpeedRanges.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -14,6 +16,7 @@
                          bool,
                          bool,
                          bool,
+                         int,
                          std::int64_t,
                          std::int64_t>;
 
@@ -69,6 +72,7 @@
            aUnit.mAvoid.count(aWorker.mTargetIncarnation) > 0,
            farFromData,
            farFromStep,
+           aUnit.mPrefersFast ? SpeedClassOf(aWorker) : -SpeedClassOf(aWorker),
            remaining.mAccelerators,
            remaining.mMilliCores };
 }
@@ -172,22 +176,59 @@
   return PrefersSingleRack(aUnit) || !aUnit.mStep->mDataRack.Value().empty();
 }
 
-/** Places all tasks on one of the preferred racks, on workers that are not
- * suspect. */
+/** Places the unit on the first range of speeds on which it fits, or else on
+ * any workers that aIsAllowed accepts. */
+template<typename Predicate>
 std::optional<Assignment>
-PlaceOnPreferredRack(const PlacementUnit& aUnit,
-                     std::vector<WorkerView>& aWorkers)
+PlaceBySpeed(const PlacementUnit& aUnit,
+             std::vector<WorkerView>& aWorkers,
+             const Predicate& aIsAllowed)
 {
-  for (const base::RackId& rack : PreferredRacks(aUnit, aWorkers)) {
+  for (const SpeedRange& range : SpeedRangesFor(aUnit, aWorkers)) {
     auto assignment =
       PlaceTasks(aUnit, aWorkers, [&](const WorkerView& aWorker) {
-        return aWorker.mRack == rack && !aWorker.mSuspect;
+        return range.Contains(aWorker) && !aWorker.mSuspect &&
+               aUnit.mAvoid.count(aWorker.mTargetIncarnation) == 0 &&
+               aIsAllowed(aWorker);
       });
     if (assignment) {
       return assignment;
     }
   }
-  return std::nullopt;
+  return PlaceTasks(aUnit, aWorkers, aIsAllowed);
+}
+
+/** Places all tasks on one of the preferred racks, on workers that are not
+ * suspect: on the first range of speeds for which there is one. */
+std::optional<Assignment>
+PlaceOnPreferredRack(const PlacementUnit& aUnit,
+                     std::vector<WorkerView>& aWorkers)
+{
+  const auto racks = PreferredRacks(aUnit, aWorkers);
+  const auto placeWithin =
+    [&](const auto& aIsAllowed) -> std::optional<Assignment> {
+    for (const base::RackId& rack : racks) {
+      auto assignment =
+        PlaceTasks(aUnit, aWorkers, [&](const WorkerView& aWorker) {
+          return aWorker.mRack == rack && !aWorker.mSuspect &&
+                 aIsAllowed(aWorker);
+        });
+      if (assignment) {
+        return assignment;
+      }
+    }
+    return std::nullopt;
+  };
+  for (const SpeedRange& range : SpeedRangesFor(aUnit, aWorkers)) {
+    auto assignment = placeWithin([&](const WorkerView& aWorker) {
+      return range.Contains(aWorker) &&
+             aUnit.mAvoid.count(aWorker.mTargetIncarnation) == 0;
+    });
+    if (assignment) {
+      return assignment;
+    }
+  }
+  return placeWithin([](const WorkerView&) { return true; });
 }
 
 /** Returns the views as they are without any run. */
@@ -526,7 +567,7 @@
       return assignment;
     }
   }
-  return PlaceTasks(aUnit, aWorkers, [](const WorkerView&) { return true; });
+  return PlaceBySpeed(aUnit, aWorkers, [](const WorkerView&) { return true; });
 }
 
 std::optional<PreemptionPlan>
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -115,6 +115,9 @@
   /** Whether it has waited too long to be kept apart from suspects of crashes,
    * see MayIgnoreCrashes. */
   bool mIgnoresCrashes = false;
+  /** Whether it is placed on fast workers first; otherwise on slow ones, so
+   * that the fast ones are free for work that needs them. See PrefersFast. */
+  bool mPrefersFast = false;
   /** Targets on which a task of the unit failed before. */
   std::set<TargetIncarnation> mAvoid;
   /** Racks on which tasks of the same step run already. */
--- a/dogwooddrum/coordination/workloads/Units.cpp
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -1,5 +1,7 @@
 #include "dogwooddrum/coordination/workloads/Units.h"
 
+#include "dogwooddrum/coordination/workloads/SpeedRanges.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -73,6 +75,7 @@
         aWorkload.mQueueName,
         spec.mEstimateMs);
     }
+    base.mPrefersFast = PrefersFast(base, mViews, UnixMs(mLeader));
     std::vector<TaskId> waiting;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
       const TaskId task{ aId, aOccurrence.mNumber, aStep, i };
