Expect run times by the distributions of finished runs

Cause: the expected time of a task without progress was the caller's estimate times one ratio a queue, fell to zero once that had passed, and was forgotten with the leader. Change: with run_time_distributions, the leader learns from runs that are done, not resumed and near their data, a gang by its last member and a step once; it starts with the observations in the replicated state. Counters tell how far expectations were off.

--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -8,6 +8,7 @@
 #include "dogwooddrum/coordination/workloads/Headroom.h"
 #include "dogwooddrum/coordination/workloads/QueueHeads.h"
 #include "dogwooddrum/coordination/workloads/RunTimeEstimator.h"
+#include "dogwooddrum/coordination/workloads/RunTimeModel.h"
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
 
 #include <map>
@@ -122,6 +123,7 @@
   std::map<std::string, AgentView> mAgents; ///< by name
   std::map<TaskId, base::Time> mReadySince;
   RunTimeEstimator mRunTimeEstimator;
+  RunTimeModel mRunTimeModel;
   QueueHeads mQueueHeads;
   /** First task of the unit of each level for which workers are reserved. */
   std::map<QueueLevel, TaskId> mReservations;
@@ -197,6 +199,26 @@
 /** Returns whether the run writes a checkpoint when it is stopped. */
 bool
 IsCheckpointing(const LeaderContext& aLeader, const RunId& aRun);
+/** Takes over the run times that earlier leaders have learned. */
+void
+ImportRunTimes(LeaderContext& aLeader);
+/** Learns from the end of a run, which is still in mRuns. */
+void
+LearnRunTime(LeaderContext& aLeader,
+             const EndRun& aChange,
+             const OpenRun& aOpen);
+/** Returns the expected run time of a whole task. */
+base::Duration
+ExpectedRunTime(const LeaderContext& aLeader,
+                const WorkloadRecord& aWorkload,
+                const TaskId& aTask);
+/** Returns the time left to a task of which only is known that it has run for
+ * aElapsed. */
+base::Duration
+ExpectedTimeLeftAfter(const LeaderContext& aLeader,
+                      const WorkloadRecord& aWorkload,
+                      const TaskId& aTask,
+                      base::Duration aElapsed);
 /** Returns the expected time to the end of the run. */
 base::Duration
 ExpectedTimeLeft(const LeaderContext& aLeader,
--- a/dogwooddrum/coordination/workloads/RunTimeEstimator.cpp
+++ b/dogwooddrum/coordination/workloads/RunTimeEstimator.cpp
@@ -116,14 +116,21 @@
                                   const protocol::QueueName& aQueue,
                                   std::uint64_t aEstimateMs) const
 {
-  if (const auto step = mSteps.find(StepOf(aTask)); step != mSteps.end()) {
-    return step->second;
+  if (const auto step = StepRunTime(aTask)) {
+    return *step;
   }
   const auto ratio = mRatios.find(aQueue);
   const double factor = ratio == mRatios.end() ? 1 : std::exp(ratio->second);
   return Seconds(static_cast<double>(aEstimateMs) / 1000 * factor);
 }
 
+std::optional<base::Duration>
+RunTimeEstimator::StepRunTime(const protocol::TaskId& aTask) const
+{
+  const auto it = mSteps.find(StepOf(aTask));
+  return it == mSteps.end() ? std::nullopt : std::make_optional(it->second);
+}
+
 void
 RunTimeEstimator::RemoveWorkload(const protocol::WorkloadId& aWorkload)
 {
--- a/dogwooddrum/coordination/workloads/RunTimeEstimator.h
+++ b/dogwooddrum/coordination/workloads/RunTimeEstimator.h
@@ -62,6 +62,9 @@
   base::Duration ExpectedRunTime(const protocol::TaskId& aTask,
                                  const protocol::QueueName& aQueue,
                                  std::uint64_t aEstimateMs) const;
+  /** Returns the run time of the step's other tasks; none if not known. */
+  std::optional<base::Duration> StepRunTime(
+    const protocol::TaskId& aTask) const;
   void RemoveWorkload(const protocol::WorkloadId& aWorkload);
 
 private:
--- a/dogwooddrum/coordination/workloads/Runs.cpp
+++ b/dogwooddrum/coordination/workloads/Runs.cpp
@@ -1,8 +1,6 @@
 #include "dogwooddrum/coordination/workloads/LeaderContext.h"
 #include "dogwooddrum/coordination/workloads/Objectives.h"
 
-#include <algorithm>
-
 namespace dogwooddrum::coordination::workloads {
 
 std::vector<RunId>
@@ -45,12 +43,8 @@
   if (const auto left = ProjectedTimeLeft(aOpen.mProgress, aLeader.mNow)) {
     return *left;
   }
-  const auto whole = aLeader.mRunTimeEstimator.ExpectedRunTime(
-    aRun.mTask,
-    workload->mQueueName,
-    StepOf(*workload, aRun.mTask).mEstimateMs);
-  return std::max(whole - (aLeader.mNow - aOpen.mStartedAt),
-                  base::Duration::zero());
+  return ExpectedTimeLeftAfter(
+    aLeader, *workload, aRun.mTask, aLeader.mNow - aOpen.mStartedAt);
 }
 
 void
--- a/dogwooddrum/coordination/workloads/Stalls.cpp
+++ b/dogwooddrum/coordination/workloads/Stalls.cpp
@@ -37,8 +37,7 @@
   }
   const auto stalled = progress.mListedAt - progress.mAdvancedAt;
   const auto whole = ProjectedRunTime(progress).value_or(
-    aLeader.mRunTimeEstimator.ExpectedRunTime(
-      aRun.mTask, workload->mQueueName, step.mEstimateMs));
+    ExpectedRunTime(aLeader, *workload, aRun.mTask));
   const double duePercent = 100 * static_cast<double>(stalled.count()) /
                             std::max(1.0, static_cast<double>(whole.count()));
   return stalled >= kMinStall && duePercent >= kMinDuePercent
--- a/dogwooddrum/coordination/workloads/Units.cpp
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -68,10 +68,8 @@
       base.mGuaranteed && mGuarantees.mExceeded.count(aWorkload.mAccount) == 0;
     base.mDueAtMs = DueAtMs(aWorkload, aQueue, aOccurrence);
     if (!spec.mLongRunning && spec.mEstimateMs > 0) {
-      base.mExpectedRunTime = mLeader.mRunTimeEstimator.ExpectedRunTime(
-        TaskId{ aId, aOccurrence.mNumber, aStep, 0 },
-        aWorkload.mQueueName,
-        spec.mEstimateMs);
+      base.mExpectedRunTime = ExpectedRunTime(
+        mLeader, aWorkload, TaskId{ aId, aOccurrence.mNumber, aStep, 0 });
     }
     std::vector<TaskId> waiting;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -148,7 +148,7 @@
     const auto& id = aChange.mRun.mTask.mWorkload;
     const auto it = mLeader.mRuns.find(aChange.mRun);
     if (it != mLeader.mRuns.end()) {
-      LearnRunTime(aChange, it->second);
+      LearnRunTime(mLeader, aChange, it->second);
       const auto worker = mLeader.mWorkers.find(it->second.mTarget);
       if (worker != mLeader.mWorkers.end()) {
         Worker& reporting = worker->second;
@@ -182,20 +182,6 @@
     }
     StopRunsOfEndedWorkload(mLeader, aId);
   }
-  void LearnRunTime(const EndRun& aChange, const OpenRun& aOpen) const
-  {
-    const TaskId& task = aChange.mRun.mTask;
-    const auto* workload = mLeader.mState->Find(task.mWorkload);
-    // A resumed run did only part of the work.
-    if (mLeader.mOptions.mPolicies.mLearnedRunTimes &&
-        aChange.mEnd == RunEnd::Done && workload != nullptr &&
-        aOpen.mResumedFrom.empty()) {
-      mLeader.mRunTimeEstimator.AddQueueSample(
-        workload->mQueueName,
-        StepOf(*workload, task).mEstimateMs,
-        mLeader.mNow - aOpen.mStartedAt);
-    }
-  }
   void operator()(const PurgeEnded&) const {}
   void operator()(const BindTarget&) const {}
   void operator()(const RecordEvacuation&) const
@@ -276,6 +262,7 @@
       leader.mAgents[agent].mTarget = target;
     }
   }
+  ImportRunTimes(leader);
   StoreCatalogForDeltas(leader);
   for (const WorkloadId& id : leader.mState->Active()) {
     const WorkloadRecord* workload = leader.mState->Find(id);
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.h
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.h
@@ -70,11 +70,15 @@
     QueueHeadWaited,
     QueueHeadOverdue,
     TargetCrashed,
+    RunTimeLearned, ///< for the metrics only; not logged
   };
   Kind mKind = Kind::Accepted;
   std::vector<std::pair<std::string_view, std::string>> mFields;
   /** Of QueueHeadWaited, for the metric: pool/priority/cause, and the wait. */
   std::vector<std::pair<std::string, base::Duration>> mHeadWaits;
+  /** Of RunTimeLearned: factor, at least 1, by which the expectation differed
+   * from the run time. */
+  double mRunTimeErrorFactor = 1;
 };
 
 struct WorkloadSchedulerMessage
--- a/dogwooddrum/daemon/Notices.cpp
+++ b/dogwooddrum/daemon/Notices.cpp
@@ -73,6 +73,15 @@
   return std::nullopt;
 }
 
+Counter
+RunTimeErrorCounter(double aFactor)
+{
+  if (aFactor <= 2) {
+    return Counter::RunTimesAsExpected;
+  }
+  return aFactor <= 4 ? Counter::RunTimesOff : Counter::RunTimesFarOff;
+}
+
 } // namespace
 
 void
@@ -124,6 +133,10 @@
       Counter::QueueHeadsOverdue },
     { Kind::TargetCrashed, LogEvent::TargetCrashed, Counter::TargetCrashes },
   } };
+  if (aEvent.mKind == Kind::RunTimeLearned) {
+    aMetrics.Add(RunTimeErrorCounter(aEvent.mRunTimeErrorFactor));
+    return;
+  }
   for (const auto& [profile, wait] : aEvent.mHeadWaits) {
     aMetrics.Observe(
       Distribution::QueueHeadWait, base::ProfileId(profile), wait);
--- a/dogwooddrum/service/Metrics.cpp
+++ b/dogwooddrum/service/Metrics.cpp
@@ -58,6 +58,12 @@
     { "queue_heads_overdue",
       "First units of a priority that could not start in time" },
     { "target_crashes", "Targets that crashed with runs on them" },
+    { "run_times_as_expected",
+      "Finished runs whose expected time was wrong by up to 2 times" },
+    { "run_times_off",
+      "Finished runs whose expected time was wrong by 2 to 4 times" },
+    { "run_times_far_off",
+      "Finished runs whose expected time was wrong by more than 4 times" },
   } };
 
 constexpr std::array<const char*,
--- a/dogwooddrum/service/Metrics.h
+++ b/dogwooddrum/service/Metrics.h
@@ -38,6 +38,9 @@
   JoinRequestsReceived,
   QueueHeadsOverdue,
   TargetCrashes,
+  RunTimesAsExpected,
+  RunTimesOff,
+  RunTimesFarOff,
   // Number of counters; must stay last.
   Count,
 };
