--- a/tests/correctness/LearnedRunTimes.cpp
+++ b/tests/correctness/LearnedRunTimes.cpp
@@ -80,5 +80,95 @@
   EXPECT_EQ(SecondsLeft(leader, 1500), 0);
 }
 
+/** A leader whose state has a workload "w" with all tasks running. */
+struct LeaderWithRuns
+{
+  explicit LeaderWithRuns(const protocol::WorkloadSpec& aSpec)
+    : mLeader({}, mState)
+  {
+    Accept accept;
+    accept.mRequest.mId = IdOf("w");
+    accept.mRequest.mQueue = protocol::QueueName("q");
+    accept.mRequest.mAccount = base::AccountId("a");
+    accept.mRequest.mSpec = aSpec;
+    mState.Apply(Change{ accept });
+    for (std::uint32_t i = 0; i < aSpec.mSteps[0].mCount; ++i) {
+      OpenRun open;
+      open.mStartedAt = base::Time() + base::Milliseconds(1000);
+      mLeader.mRuns.emplace(RunOf(i), open);
+    }
+  }
+
+  static RunId RunOf(std::uint32_t aIndex)
+  {
+    return { { IdOf("w"), 0, 0, aIndex }, RunNumber(1) };
+  }
+
+  void End(std::uint32_t aIndex, std::int64_t aMs, RunEnd aEnd = RunEnd::Done)
+  {
+    mLeader.mNow = base::Time() + base::Milliseconds(1000 + aMs);
+    const auto it = mLeader.mRuns.find(RunOf(aIndex));
+    LearnRunTime(mLeader, EndRun{ it->first, aEnd, "", 0 }, it->second);
+    mLeader.mRuns.erase(it);
+  }
+
+  double Samples() const
+  {
+    return mLeader.mRunTimeModel
+      .Expect({ protocol::QueueName("q"), base::AccountId("a"), 1 }, 0)
+      .mSamples;
+  }
+
+  State mState;
+  LeaderContext mLeader;
+};
+
+/** Load: a gang of three with a member that takes five times as long. */
+TEST(LearnedRunTimes, GangTakesAsLongAsItsSlowestMember)
+{
+  LeaderWithRuns gang(OneStepSpec(3, 1000, 1, true));
+  gang.End(0, 2000);
+  gang.End(2, 2100);
+  EXPECT_EQ(gang.Samples(), 0);
+  gang.End(1, 10000);
+  EXPECT_NEAR(gang.Samples(), 1, 0.01);
+  const auto times = gang.mLeader.mRunTimeModel.Expect(
+    { protocol::QueueName("q"), base::AccountId("a"), 3 }, 0);
+  EXPECT_GT(times.mMedian, base::Milliseconds(7000));
+}
+
+TEST(LearnedRunTimes, StepOfManyTasksCountsOnce)
+{
+  LeaderWithRuns step(OneStepSpec(40, 1000, 1, false));
+  for (std::uint32_t i = 0; i < 40; ++i) {
+    step.End(i, 5000);
+  }
+  EXPECT_NEAR(step.Samples(), 1, 0.05);
+}
+
+TEST(LearnedRunTimes, UnfitRunsAreNotSamples)
+{
+  protocol::WorkloadSpec spec = OneStepSpec(4, 1000, 1, false);
+  spec.mSteps[0].mDataRack = base::RackId("near");
+  LeaderWithRuns runs(spec);
+  const auto place = [&](std::uint32_t aIndex, const std::string& aRack) {
+    TargetIncarnation target;
+    target.mInstance = aRack + std::to_string(aIndex);
+    runs.mLeader.mRuns[LeaderWithRuns::RunOf(aIndex)].mTarget = target;
+    runs.mLeader.mWorkers[target].mTargetInfo.mRack = base::RackId(aRack);
+  };
+  place(0, "near");
+  place(1, "near");
+  place(2, "far");
+  place(3, "near");
+  runs.mLeader.mRuns[LeaderWithRuns::RunOf(0)].mResumedFrom = "checkpoint";
+  runs.End(0, 5000);
+  runs.End(1, 5000, RunEnd::Failed);
+  runs.End(2, 15000);
+  EXPECT_EQ(runs.Samples(), 0) << "resumed, failed or far from its data";
+  runs.End(3, 5000);
+  EXPECT_GT(runs.Samples(), 0);
+}
+
 } // namespace
 } // namespace dogwooddrum::tests
