--- a/dogwooddrum/coordination/workloads/ObservationPublisher.cpp
+++ b/dogwooddrum/coordination/workloads/ObservationPublisher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace dogwooddrum::coordination::workloads {
 
@@ -56,8 +57,57 @@
   }
 }
 
+void
+CollectRunTimes(const LeaderContext& aLeader, Observations& aObservations)
+{
+  aObservations.mRunTimes = aLeader.mRunTimeModel.Export();
+}
+
+/** Returns the counts by class. */
+std::map<std::tuple<protocol::QueueName, base::AccountId, std::uint32_t>,
+         std::vector<std::uint32_t>>
+CountsByClass(const Observations& aObservations)
+{
+  std::map<std::tuple<protocol::QueueName, base::AccountId, std::uint32_t>,
+           std::vector<std::uint32_t>>
+    counts;
+  for (const ObservedRunTimes& each : aObservations.mRunTimes) {
+    counts[{ each.mQueue, each.mAccount, each.mWidthClass }] =
+      each.mRunTimeCounts;
+  }
+  return counts;
+}
+
+/** Returns whether a quarter of the counts is new. */
+bool
+RunTimesDiffer(const Observations& aPublished, const Observations& aNew)
+{
+  constexpr std::uint64_t kLeastShare = 4;
+  const auto published = CountsByClass(aPublished);
+  std::uint64_t total = 0;
+  std::uint64_t changed = 0;
+  for (const auto& [key, counts] : CountsByClass(aNew)) {
+    const auto it = published.find(key);
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+      const std::uint64_t before =
+        it != published.end() && i < it->second.size() ? it->second[i] : 0;
+      total += counts[i];
+      changed += std::max<std::uint64_t>(counts[i], before) -
+                 std::min<std::uint64_t>(counts[i], before);
+    }
+  }
+  return changed > 0 && changed * kLeastShare >= total;
+}
+
+void
+AdoptRunTimes(LeaderContext& aLeader, const Observations& /*aPublished*/)
+{
+  ImportRunTimes(aLeader);
+}
+
 constexpr Source kSources[] = {
   { CollectSpeeds, SpeedsDiffer, AdoptSpeeds },
+  { CollectRunTimes, RunTimesDiffer, AdoptRunTimes },
 };
 
 } // namespace
--- a/dogwooddrum/coordination/workloads/Units.cpp
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -70,10 +70,8 @@
       base.mGuaranteed && mGuarantees.mExceeded.count(aWorkload.mAccount) == 0;
     base.mDueAtMs = DueAtMs(aWorkload, aQueue, aOccurrence);
     if (!spec.mLongRunning && spec.mEstimateMs > 0) {
-      base.mExpectedRunTime = mLeader.mRunTimeEstimator.ExpectedRunTime(
-        TaskId{ aId, aOccurrence.mNumber, aStep, 0 },
-        aWorkload.mQueueName,
-        spec.mEstimateMs);
+      base.mExpectedRunTime = ExpectedRunTime(
+        mLeader, aWorkload, TaskId{ aId, aOccurrence.mNumber, aStep, 0 });
     }
     base.mPrefersFast = PrefersFast(base, mViews, UnixMs(mLeader));
     std::vector<TaskId> waiting;
--- a/dogwooddrum/service/Metrics.h
+++ b/dogwooddrum/service/Metrics.h
@@ -39,6 +39,9 @@
   QueueHeadsOverdue,
   TargetCrashes,
   ZoneEvacuations,
+  RunTimesAsExpected,
+  RunTimesOff,
+  RunTimesFarOff,
   // Number of counters; must stay last.
   Count,
 };
