Serve evacuations in the product's own interface

Cause: operators of the product had no interface and no command for evacuations; only the port of the platform took them.

Change: control members serve GET /v1/zones and POST and DELETE /v1/zones/ZONE/evacuation at their HTTP port with the operators' key; the tool has zone evacuate, restore and list, which refuse names that are none. The operator server takes calls in either format.

--- a/dogwooddrum/cli/Command.h
+++ b/dogwooddrum/cli/Command.h
@@ -64,6 +64,14 @@
 ExitCode
 RunConfigRemoveProfile(const Arguments& aArguments);
 
+// Commands for operators of zones (ZoneCommands.cpp).
+ExitCode
+RunZoneEvacuate(const Arguments& aArguments);
+ExitCode
+RunZoneRestore(const Arguments& aArguments);
+ExitCode
+RunZoneList(const Arguments& aArguments);
+
 // Other commands (LoadCommand.cpp, ReferenceCommand.cpp, TimelineCommand.cpp).
 ExitCode
 RunLoadCommand(const Arguments& aArguments);
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -12,6 +12,7 @@
 #include "dogwooddrum/daemon/OperatorServer.h"
 #include "dogwooddrum/daemon/PeerLinks.h"
 #include "dogwooddrum/daemon/SessionMessages.h"
+#include "dogwooddrum/daemon/ZoneApi.h"
 #include "dogwooddrum/protocol/Codec.h"
 #include "dogwooddrum/service/LogEvents.h"
 #include "dogwooddrum/transport/LinkServer.h"
@@ -53,6 +54,7 @@
     : mContext(aContext)
     , mSettings(aContext.mSettings.mControl)
     , mFiles(state::MakePosixFileSystem())
+    , mZoneApi(aContext.mOperatorKey)
     , mLoop(kTickInterval,
             { [this](base::Time aNow) { Tick(aNow); },
               [this] { mCore->ProcessOutput(); } })
@@ -159,10 +161,15 @@
     set(Gauge::LargestShapeInZone, status.mLargestInZone);
   }
 
-  bool Handle(transport::ServerRequest&,
-              const transport::ServerResponder&) override
+  bool Handle(transport::ServerRequest& aRequest,
+              const transport::ServerResponder& aResponder) override
   {
-    return false;
+    if (!mIsServingZones || !ZoneApi::IsZonePath(aRequest.mPath)) {
+      return false;
+    }
+    mOperatorServer->Handle(
+      aRequest, aResponder, mZoneApi, mContext.mSettings.mCommon.mHttpPort);
+    return true;
   }
 
   void BeginDrain() override {}
@@ -244,8 +251,10 @@
     }
     mOperatorServer = std::make_unique<OperatorServer>(
       *mContext.mNetwork, *mContext.mAdapters->mOperators, mLoop);
-    return mOperatorServer->Listen(
+    auto listens = mOperatorServer->Listen(
       ToTransportAddress(*mSettings.mOperatorAddress), *mCore);
+    mIsServingZones = static_cast<bool>(listens);
+    return listens;
   }
 
   void Tick(base::Time aNow)
@@ -671,7 +680,9 @@
   bool mIsReopening = false; ///< a new core is about to replace a stopped one
   std::unique_ptr<transport::LinkServer> mServer;
   std::unique_ptr<JoinLinks> mJoinLinks;
+  const ZoneApi mZoneApi;
   std::unique_ptr<OperatorServer> mOperatorServer;
+  std::atomic<bool> mIsServingZones{ false }; ///< mOperatorServer is complete
   base::Time mNextJoin{};
   base::Time mLeaderLastKnownAt{};
   /** From the newest reply to a join request. */
--- a/dogwooddrum/daemon/OperatorServer.cpp
+++ b/dogwooddrum/daemon/OperatorServer.cpp
@@ -64,16 +64,16 @@
 OperatorServer::Listen(const transport::Address& aAddress, ControlCore& aCore)
 {
   mCore = &aCore;
-  mPort = aAddress.mPort;
   transport::HttpServerOptions options;
   options.mMaxBodyBytes = kMaxBodyBytes;
   auto server = transport::HttpServer::Listen(
     mNetwork,
     aAddress,
     options,
-    [this](const transport::ServerRequest& aRequest,
-           const transport::ServerResponder& aResponder) {
-      Handle(aRequest, aResponder);
+    [this,
+     port = aAddress.mPort](const transport::ServerRequest& aRequest,
+                            const transport::ServerResponder& aResponder) {
+      Handle(aRequest, aResponder, mProtocol, port);
     });
   if (!server) {
     return server.LastFailure();
@@ -90,30 +90,32 @@
 
 void
 OperatorServer::Handle(const transport::ServerRequest& aRequest,
-                       const transport::ServerResponder& aResponder)
+                       const transport::ServerResponder& aResponder,
+                       const OperatorProtocol& aProtocol,
+                       std::uint16_t aPort)
 {
-  auto call = mProtocol.Decode(aRequest);
-  if (auto* response = std::get_if<transport::ServerResponse>(&call)) {
-    Call invalid;
-    invalid.mResponder = aResponder;
-    invalid.mReceivedAt = Now();
-    Answer(invalid, std::move(*response), "invalid");
+  Call call;
+  call.mResponder = aResponder;
+  call.mReceivedAt = Now();
+  call.mProtocol = &aProtocol;
+  call.mPort = aPort;
+  auto decoded = aProtocol.Decode(aRequest);
+  if (auto* response = std::get_if<transport::ServerResponse>(&decoded)) {
+    Answer(call, std::move(*response), "invalid");
     return;
   }
-  protocol::WorkloadRequestBody body = std::visit(ToBody(), std::move(call));
-  mLoop.Post([this, aRequest, body = std::move(body), aResponder] {
-    ForwardToCore(aRequest, body, aResponder);
+  protocol::WorkloadRequestBody body = std::visit(ToBody(), std::move(decoded));
+  mLoop.Post([this, aRequest, body = std::move(body), call = std::move(call)] {
+    ForwardToCore(aRequest, body, call);
   });
 }
 
 void
 OperatorServer::ForwardToCore(const transport::ServerRequest& aRequest,
                               protocol::WorkloadRequestBody aBody,
-                              const transport::ServerResponder& aResponder)
+                              Call aCall)
 {
-  Call call;
-  call.mResponder = aResponder;
-  call.mReceivedAt = Now();
+  Call& call = aCall;
   call.mName = std::visit(CallName(), aBody);
   if (const auto* replace = std::get_if<protocol::ReplaceCatalog>(&aBody)) {
     call.mVersion = replace->mCatalog.mVersion;
@@ -123,14 +125,14 @@
       transport::ParseAddress(mCore->GetCoordinator().LeaderAddress());
     if (leader && mCore->Status().mLeaderId != 0) {
       Answer(call,
-             mProtocol.Redirect({ leader->mHost, mPort }, aRequest),
+             call.mProtocol->Redirect({ leader->mHost, call.mPort }, aRequest),
              "redirected");
     } else {
       const auto leaderlessMs =
         base::ToMilliseconds(mCore->Status().LeaderlessTime(Now()));
       Answer(call,
-             mProtocol.Unavailable("no leader known for " +
-                                   std::to_string(leaderlessMs) + " ms"),
+             call.mProtocol->Unavailable("no leader known for " +
+                                         std::to_string(leaderlessMs) + " ms"),
              "no_leader",
              { { "leaderless_ms", leaderlessMs } });
     }
@@ -167,7 +169,7 @@
 {
   const auto it = mCalls.find(aReply.mId);
   if (it != mCalls.end()) {
-    Answer(it->second, mProtocol.Render(aReply), "leader");
+    Answer(it->second, it->second.mProtocol->Render(aReply), "leader");
     mCalls.erase(it);
   }
 }
@@ -176,7 +178,7 @@
 OperatorServer::OnLeadershipLost()
 {
   for (const auto& [id, call] : mCalls) {
-    Answer(call, mProtocol.Unavailable(""), "leadership_lost");
+    Answer(call, call.mProtocol->Unavailable(""), "leadership_lost");
   }
   mCalls.clear();
 }
@@ -186,7 +188,7 @@
 {
   for (auto it = mCalls.begin(); it != mCalls.end();) {
     if (aNow - it->second.mReceivedAt >= kCallTimeout) {
-      Answer(it->second, mProtocol.Unavailable(""), "timed_out");
+      Answer(it->second, it->second.mProtocol->Unavailable(""), "timed_out");
       it = mCalls.erase(it);
     } else {
       ++it;
--- a/dogwooddrum/daemon/OperatorServer.h
+++ b/dogwooddrum/daemon/OperatorServer.h
@@ -1,6 +1,6 @@
 /** \file
  * Defines OperatorServer, the HTTP server of a control member through which
- * operators read and replace the catalog.
+ * operators read and replace the catalog and evacuate availability zones.
  */
 #pragma once
 
@@ -33,6 +33,13 @@
                              ControlCore& aCore);
   /** Passes later calls to aCore. */
   void SetCore(ControlCore& aCore);
+  /** Handles a request that has arrived elsewhere, in the format of aProtocol,
+   * which must outlive the object. aPort is where the same interface of the
+   * leader listens. Precondition: SetCore or Listen. Thread safe. */
+  void Handle(const transport::ServerRequest& aRequest,
+              const transport::ServerResponder& aResponder,
+              const OperatorProtocol& aProtocol,
+              std::uint16_t aPort);
   /** Answers the call that waits for aReply. */
   void OnReply(const protocol::WorkloadReply& aReply);
   /** Answers all waiting calls with a response that leaves their outcome
@@ -53,13 +60,13 @@
     base::Time mReceivedAt;
     const char* mName = "read";        ///< for the log
     protocol::CatalogVersion mVersion; ///< version in the call; 0: none
+    const OperatorProtocol* mProtocol = nullptr;
+    std::uint16_t mPort = 0;
   };
 
-  void Handle(const transport::ServerRequest& aRequest,
-              const transport::ServerResponder& aResponder);
   void ForwardToCore(const transport::ServerRequest& aRequest,
                      protocol::WorkloadRequestBody aBody,
-                     const transport::ServerResponder& aResponder);
+                     Call aCall);
   /** Logs the answer with aFields and sends it. */
   static void Answer(const Call& aCall,
                      transport::ServerResponse aResponse,
@@ -70,7 +77,6 @@
   const OperatorProtocol& mProtocol;
   EventLoop& mLoop;
   ControlCore* mCore = nullptr;
-  std::uint16_t mPort = 0; ///< the same on all members
   std::unique_ptr<transport::HttpServer> mServer;
   std::map<base::RequestId, Call> mCalls;
   std::uint64_t mLastCallId = 0;
