Test the leader's limit of starts and shares without an evacuated zone

Cause: with one part removed at a time, no test failed for start orders that are repeated in an evacuated zone, for a limit that later orders extend, and for shares that count runs in the zone.

--- a/tests/correctness/ZoneEvacuation.cpp
+++ b/tests/correctness/ZoneEvacuation.cpp
@@ -218,6 +218,28 @@
   EXPECT_EQ(sim.EvacuatedZones().size(), 1U);
 }
 
+// Runs in the zone use nothing of the capacity that is left to be shared.
+TEST(ZoneEvacuation, RunsInTheZoneDoNotCountAgainstTheSharesOfTheOthers)
+{
+  WorkloadSimulation sim(TwoZones());
+  sim.RunFor(500);
+  sim.SetEvacuation("z1", true);
+  sim.SetRunTime("old", 20000);
+  sim.Submit("old", "p2", OneStepSpec(2, 1000, 8, false));
+  sim.RunFor(1000);
+  ASSERT_EQ(sim.StartCount("old"), 2);
+  sim.SetEvacuation("z0", true);
+  sim.SetRunTime("urgent", 5000);
+  sim.SetRunTime("other", 5000);
+  sim.Submit("urgent", "p1", OneStepSpec(16, 1000, 1, false));
+  sim.Submit("other", "p2", OneStepSpec(16, 1000, 1, false));
+  sim.RunFor(100);
+  sim.SetEvacuation("z1", false);
+  sim.RunFor(500);
+  EXPECT_GT(sim.StartCount("urgent"), 0);
+  EXPECT_GT(sim.StartCount("other"), 0);
+}
+
 // Urgent work within its guarantee takes the zones that are left by preemption;
 // runs in the evacuated zone are no victims, as they free nothing usable.
 TEST(ZoneEvacuation, UrgentWorkPreemptsInUsableZonesOnly)
--- a/tests/error/ZoneEvacuationFaults.cpp
+++ b/tests/error/ZoneEvacuationFaults.cpp
@@ -83,6 +83,69 @@
   EXPECT_FALSE(agent.NextOrder(At(4000)));
 }
 
+// The limit comes from the report alone: orders that the leader sends later,
+// also after a pause, must not extend it.
+TEST(ZoneEvacuationFaults, LeaderLimitsStartsByReportsAndRepeatsNoneInTheZone)
+{
+  State state;
+  Catalog catalog;
+  catalog.mVersion = protocol::CatalogVersion(1);
+  catalog.mPools.push_back({ protocol::PoolName("pool"), false, false });
+  protocol::Queue queue;
+  queue.mName = protocol::QueueName("queue");
+  queue.mPool = protocol::PoolName("pool");
+  catalog.mQueues.push_back(queue);
+  state.Apply(Change{ AdoptCatalog{ catalog } });
+  Accept accept;
+  accept.mRequest.mId = protocol::WorkloadId("a");
+  accept.mRequest.mQueue = queue.mName;
+  accept.mRequest.mSpec = OneStepSpec(1, 1000, 0, false);
+  state.Apply(Change{ accept });
+  state.Apply(Change{ StartRuns{ { { FirstRunOfA(), kTarget } } } });
+  WorkloadSchedulerOptions options;
+  options.mEvacuationTime = base::Milliseconds(kEvacuationMs);
+  WorkloadScheduler scheduler(options, state);
+  scheduler.BecomeLeader(base::Term(1), At(0));
+  const auto ordersAt = [&scheduler](std::int64_t aMs) {
+    protocol::WorkerOrders orders;
+    for (const auto& message : scheduler.TakeOutput(At(aMs)).mMessages) {
+      orders = std::get<protocol::WorkerOrders>(message.mBody);
+    }
+    return orders;
+  };
+  protocol::WorkerReport report;
+  report.mAgent = base::Incarnation(1);
+  report.mAgentName = "agent";
+  report.mSequence = 1;
+  report.mSentAtUs = 900'000'000;
+  report.mTarget = TargetInfoOf(kTarget, { 4000, 4000, 0 });
+  report.mTarget->mZone = base::ZoneId("north");
+  report.mHasRunLists = true;
+  scheduler.OnReport(Session(1), report, At(10));
+  const auto first = ordersAt(10);
+  EXPECT_EQ(first.mStarts.size(), 1U);
+  EXPECT_EQ(first.mStartsUntilUs, 902'500'000);
+  const Change evacuate{ RecordEvacuation{ base::ZoneId("north"), true } };
+  state.Apply(evacuate);
+  scheduler.OnApplied(evacuate, At(4000));
+  const auto second = ordersAt(4000);
+  EXPECT_GT(second.mSequence, first.mSequence);
+  EXPECT_TRUE(second.mStarts.empty());
+  EXPECT_EQ(second.mStartsUntilUs, 902'500'000);
+  EXPECT_EQ(second.mStops.size(), 1U) << "the start may be on its way";
+  // A start that was proposed before the evacuation and is committed after it.
+  accept.mRequest.mId = protocol::WorkloadId("b");
+  state.Apply(Change{ accept });
+  const Change late{ StartRuns{
+    { { { { accept.mRequest.mId, 0, 0, 0 }, protocol::RunNumber(1) },
+        kTarget } } } };
+  state.Apply(late);
+  scheduler.OnApplied(late, At(4010));
+  const auto third = ordersAt(4010);
+  EXPECT_GT(third.mSequence, second.mSequence);
+  EXPECT_TRUE(third.mStarts.empty());
+}
+
 TEST(ZoneEvacuationFaults, StartOnItsWayToAPausedAgentIsNotBegun)
 {
   WorkloadSimulation sim(TwoZones());
