Remove an unused using declaration from a test

The linter refuses a using declaration that nothing uses; the tests of placement by speed need only the package's own namespace, so that the line goes away.

--- a/tests/correctness/SpeedPlacement.cpp
+++ b/tests/correctness/SpeedPlacement.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using namespace coordination::workloads;
-using protocol::TaskId;
 
 constexpr double kSlow = 2.4;
 
