Close waiting connections for a lack of descriptors

Cause: below the limit of connections a server without a free descriptor only tried again, while callers that sent nothing kept theirs for 30 s.

Change: each accept that fails for lack of descriptors closes an eighth of the connections that wait for a request, at least one, the longest wait first.

--- a/dogwooddrum/transport/ConnectionTable.cpp
+++ b/dogwooddrum/transport/ConnectionTable.cpp
@@ -7,6 +7,8 @@
 /** A chunk of one byte has five bytes of framing; some senders pad sizes with
  * zeros. */
 constexpr std::uint64_t kFramingBytesPerBodyByte = 8;
+/** Share of the waiting connections that is shed at once. */
+constexpr std::size_t kShedShare = 8;
 
 } // namespace
 
@@ -41,6 +43,18 @@
   return admitted;
 }
 
+std::vector<ConnectionTable::Id>
+ConnectionTable::ShedLongestWaiting()
+{
+  std::vector<Id> shed;
+  const auto count = mReading.size() / kShedShare + 1;
+  while (shed.size() < count && !mReading.empty()) {
+    shed.push_back(mReading.front());
+    Forget(mConnections.find(mReading.front()));
+  }
+  return shed;
+}
+
 void
 ConnectionTable::Remove(Id aId)
 {
--- a/dogwooddrum/transport/ConnectionTable.h
+++ b/dogwooddrum/transport/ConnectionTable.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace dogwooddrum::transport {
 
@@ -42,6 +43,9 @@
    * waited longest is shed and no longer counts; if there is none, the new one
    * is not admitted. */
   Admitted Add(Id aId);
+  /** Sheds an eighth of the reading connections, at least one, those that have
+   * waited longest first; for a lack of descriptors below the limit. */
+  std::vector<Id> ShedLongestWaiting();
   void Remove(Id aId);
   /** The connection waits for its next request. */
   void BeginReading(Id aId);
--- a/dogwooddrum/transport/HttpServer.cpp
+++ b/dogwooddrum/transport/HttpServer.cpp
@@ -565,6 +565,9 @@
           return;
         }
         if (aError) {
+          if (aError == asio::error::no_descriptors) {
+            self->ShedLongestWaiting();
+          }
           self->mNetwork.PostAfter(kAcceptRetryDelay,
                                    [self] { self->Accept(); });
           return;
@@ -574,6 +577,23 @@
       });
   }
 
+  /** Makes descriptors free for new callers. */
+  void ShedLongestWaiting() const
+  {
+    std::vector<std::shared_ptr<Session>> sessions;
+    {
+      const std::lock_guard<std::mutex> lock(mSharedState->mMutex);
+      for (const auto id : mSharedState->mTable.ShedLongestWaiting()) {
+        sessions.push_back(mSharedState->Find(id));
+      }
+    }
+    for (const auto& session : sessions) {
+      if (session) {
+        session->Shed(HttpRefusal::ConnectionShed);
+      }
+    }
+  }
+
   void StartSession(tcp::socket aSocket) const
   {
     std::shared_ptr<Session> session;
--- a/tests/error/ConnectionLimits.cpp
+++ b/tests/error/ConnectionLimits.cpp
@@ -39,6 +39,18 @@
   EXPECT_TRUE(table.Add(4).mIsAdmitted);
 }
 
+TEST(ConnectionLimits, LackOfDescriptorsShedsWaitingConnectionsOnly)
+{
+  ConnectionTable table(100, kMaxBytes);
+  for (ConnectionTable::Id id = 1; id <= 17; ++id) {
+    table.Add(id);
+  }
+  table.BeginHandling(1);
+  const std::vector<ConnectionTable::Id> expected = { 2, 3, 4 };
+  EXPECT_EQ(table.ShedLongestWaiting(), expected);
+  EXPECT_EQ(table.Connections(), 14U);
+}
+
 TEST(ConnectionLimits, LargestUnfinishedRequestIsShedForMemory)
 {
   ConnectionTable table(10, kMaxBytes);
--- a/tests/error/HostileClients.cpp
+++ b/tests/error/HostileClients.cpp
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <fstream>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -152,6 +153,14 @@
     request.mTarget = aTarget;
     return static_cast<bool>(client.Call(request, base::Milliseconds(5000)));
   }
+  /** Limits the descriptors that the process may open from now on. */
+  void LimitDescriptors(int aMore) const
+  {
+    rlimit limit = {};
+    ::prlimit(mPid, RLIMIT_NOFILE, nullptr, &limit);
+    limit.rlim_cur = static_cast<rlim_t>(Descriptors() + aMore);
+    ::prlimit(mPid, RLIMIT_NOFILE, &limit, nullptr);
+  }
   bool IsAlive() const { return ::waitpid(mPid, nullptr, WNOHANG) == 0; }
   /** Returns the largest resident memory so far. */
   long PeakMemoryKb() const
@@ -382,6 +391,21 @@
   EXPECT_TRUE(daemon.IsAlive());
 }
 
+TEST(HostileClientsAtTheLimit, LackOfDescriptorsLeavesOrdinaryCallersAnswered)
+{
+  const Daemon daemon("control");
+  constexpr int kFreeDescriptors = 20;
+  daemon.LimitDescriptors(kFreeDescriptors);
+  for (const auto port : { daemon.mHttpPort, daemon.mOtherPort }) {
+    std::vector<std::unique_ptr<Client>> crowd;
+    for (int i = 0; i < 2 * kFreeDescriptors; ++i) {
+      crowd.push_back(std::make_unique<Client>(port));
+    }
+    EXPECT_TRUE(daemon.IsAnswering(port, "/-/x")) << port;
+  }
+  EXPECT_TRUE(daemon.IsAlive());
+}
+
 TEST(HostileClientsAtTheLimit, SilentConnectionsLeaveDescriptorsBounded)
 {
   const Daemon daemon("entry");
