Divide contended levels between client accounts, off by default

Cause: within a priority the leader places units by due time only, so that a burst of one client account keeps another's work out for as long as it lasts. In the simulation a task behind a burst of ten pool loads starts after more than 20 s.

Change: AccountShares orders the units of a contended level that is not urgent by weighted dominant share, with a bounded debt that a new leader adopts from the observations. The setting account_shares switches it; the default is now false.

--- a/dogwooddrum/coordination/workloads/Decision.cpp
+++ b/dogwooddrum/coordination/workloads/Decision.cpp
@@ -68,16 +68,18 @@
 std::vector<PlacementUnit>::iterator
 Decision::PlacePrivileged()
 {
-  const WorkloadStep* fullStep = nullptr;
+  std::set<const WorkloadStep*> fullSteps;
   auto it = mUnits.begin();
   for (; it != mUnits.end() && IsPrivileged(*it); ++it) {
-    if (it->mStep == fullStep || TryPlace(*it)) {
+    if (fullSteps.count(it->mStep) > 0 || TryPlace(*it)) {
       continue;
     }
+    OnUnplaced(*it);
     const bool isPreempting =
       it->mPriority == 0 && PreemptFor(mLeader, *it, mViews);
-    const bool isStepFull = !isPreempting && it->mCrashes.empty();
-    fullStep = isStepFull ? it->mStep : nullptr;
+    if (!isPreempting && it->mCrashes.empty()) {
+      fullSteps.insert(it->mStep);
+    }
     if (!isPreempting) {
       RecordHeadWait(*it);
       HoldForIsolation(*it);
@@ -200,12 +202,13 @@
 Decision::PlaceNextUnit(LevelUnits& aLevel)
 {
   PlacementUnit& unit = *aLevel.mUnits[aLevel.mNext++];
-  if (unit.mStep == aLevel.mFullStep || TryPlace(unit)) {
+  if (aLevel.mFullSteps.count(unit.mStep) > 0 || TryPlace(unit)) {
     return;
   }
   if (unit.mCrashes.empty()) {
-    aLevel.mFullStep = unit.mStep;
+    aLevel.mFullSteps.insert(unit.mStep);
   }
+  OnUnplaced(unit);
   const QueueLevel level{ unit.mPool, unit.mPriority };
   const bool mayReserve = mLeader.mOptions.mPolicies.mReservations &&
                           mLeader.mReservations.count(level) == 0 &&
@@ -215,6 +218,17 @@
   }
 }
 
+/** Records that the unit lacks room, unless it waits for other reasons. */
+void
+Decision::OnUnplaced(const PlacementUnit& aUnit)
+{
+  const QueueLevel level{ aUnit.mPool, aUnit.mPriority };
+  if (mLeader.mOptions.mPolicies.mAccountShares &&
+      mUnplaced.insert(level).second && !IsHalfIdle(aUnit.mPool, mViews)) {
+    mLeader.mAccountShares.OnUnplaced(level, mLeader.mNow);
+  }
+}
+
 /** Records why the unit was not placed if it is the first of its level. */
 void
 Decision::RecordHeadWait(const PlacementUnit& aUnit)
--- a/dogwooddrum/coordination/workloads/Decision.h
+++ b/dogwooddrum/coordination/workloads/Decision.h
@@ -8,6 +8,7 @@
 #include "dogwooddrum/coordination/workloads/Objectives.h"
 #include "dogwooddrum/coordination/workloads/Starts.h"
 
+#include <set>
 #include <vector>
 
 namespace dogwooddrum::coordination::workloads {
@@ -32,6 +33,7 @@
   void PlaceReservedUnits();
   bool ReserveFor(const QueueLevel& aLevel, PlacementUnit& aUnit);
   void PlaceNextUnit(LevelUnits& aLevel);
+  void OnUnplaced(const PlacementUnit& aUnit);
   void RecordHeadWait(const PlacementUnit& aUnit);
 
   LeaderContext& mLeader;
@@ -41,6 +43,7 @@
   Levels mLevels;
   std::vector<ResourceVector> mHeadroom; ///< taken from each view
   StepPlacements mPlaced;
+  std::set<QueueLevel> mUnplaced; ///< levels with a unit without room
 };
 
 } // namespace dogwooddrum::coordination::workloads
--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "dogwooddrum/coordination/workloads/AccountShares.h"
 #include "dogwooddrum/coordination/workloads/Headroom.h"
 #include "dogwooddrum/coordination/workloads/QueueHeads.h"
 #include "dogwooddrum/coordination/workloads/RunTimeEstimator.h"
@@ -123,6 +124,7 @@
   std::map<TaskId, base::Time> mReadySince;
   RunTimeEstimator mRunTimeEstimator;
   QueueHeads mQueueHeads;
+  AccountShares mAccountShares;
   /** First task of the unit of each level for which workers are reserved. */
   std::map<QueueLevel, TaskId> mReservations;
   std::map<protocol::PoolName, UrgentDemand> mUrgentDemand;
--- a/dogwooddrum/coordination/workloads/Levels.h
+++ b/dogwooddrum/coordination/workloads/Levels.h
@@ -8,6 +8,7 @@
 #include "dogwooddrum/coordination/workloads/Reservations.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace dogwooddrum::coordination::workloads {
@@ -26,7 +27,7 @@
 {
   std::vector<PlacementUnit*> mUnits; ///< in the order of their due times
   std::size_t mNext = 0;
-  const WorkloadStep* mFullStep = nullptr; ///< no further task of it fits
+  std::set<const WorkloadStep*> mFullSteps; ///< no further task of them fits
 };
 
 /** The levels of one decision. Levels within their share of the pool come
--- a/dogwooddrum/coordination/workloads/Policies.h
+++ b/dogwooddrum/coordination/workloads/Policies.h
@@ -39,8 +39,9 @@
   bool mWorkerSpeeds = true;
   /** Expects run times by the distribution of finished runs. */
   bool mRunTimeDistributions = true;
-  /** Divides what a priority uses of a pool between client accounts. */
-  bool mAccountShares = true;
+  /** Divides what a priority that is not urgent uses of a pool between client
+   * accounts. */
+  bool mAccountShares = false;
   /** Refuses work at once that cannot end in time. */
   bool mAdmission = true;
   /** Lets a new leader end the runs of targets that their VMs have replaced. */
--- a/dogwooddrum/coordination/workloads/Units.cpp
+++ b/dogwooddrum/coordination/workloads/Units.cpp
@@ -1,6 +1,8 @@
 #include "dogwooddrum/coordination/workloads/Units.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <map>
 #include <tuple>
 
 namespace dogwooddrum::coordination::workloads {
@@ -171,6 +173,80 @@
   return aUnit.mStep->mLongRunning && aPolicies.mLongRunningFirst ? 2 : 3;
 }
 
+/** Returns what the accounts use of the pools. Guaranteed work is not counted
+ * against its account, nor is long-running work, which is placed first. */
+AccountUses
+CollectAccountUses(const LeaderContext& aLeader,
+                   const std::vector<WorkerView>& aViews,
+                   const Guarantees& aGuarantees)
+{
+  AccountUses uses;
+  for (const WorkerView& view : aViews) {
+    if (view.mUsable) {
+      auto& capacity = uses.mCapacities[view.mPool];
+      capacity = capacity + view.mCapacity;
+    }
+  }
+  for (const auto& [run, open] : aLeader.mRuns) {
+    const auto worker = aLeader.mWorkers.find(open.mTarget);
+    const auto* workload = aLeader.mState->Find(run.mTask.mWorkload);
+    if (open.mStopping || open.mEnding || workload == nullptr ||
+        worker == aLeader.mWorkers.end() ||
+        StepOf(*workload, run.mTask).mLongRunning ||
+        aGuarantees.mCovered.count(run.mTask.mWorkload) > 0) {
+      continue;
+    }
+    auto& used = uses.mUsed[{ worker->second.mTargetInfo.mPool,
+                              open.mPriority }][workload->mAccount];
+    used = used + open.mResources;
+  }
+  // An account with an average guarantee weighs twice as much as one without.
+  std::uint64_t sum = 0;
+  std::uint64_t count = 0;
+  const auto& accounts = aLeader.mState->CurrentCatalog().mAccounts;
+  for (const auto& account : accounts) {
+    sum += account.mGuaranteedAccelerators;
+    count += account.mGuaranteedAccelerators > 0 ? 1 : 0;
+  }
+  for (const auto& account : accounts) {
+    uses.mWeights[account.mName] =
+      sum == 0
+        ? 1
+        : 1 + static_cast<double>(account.mGuaranteedAccelerators * count) /
+                static_cast<double>(sum);
+  }
+  return uses;
+}
+
+/** Orders the units of contended levels by the shares of their accounts. Urgent
+ * units keep the order of their due times: runs are stopped for the first of
+ * them, so that another order in each decision would stop more. The guarantees
+ * divide the pool between them. */
+void
+OrderByAccounts(LeaderContext& aLeader, std::vector<PlacementUnit>& aUnits)
+{
+  std::map<QueueLevel, std::vector<std::size_t>> places;
+  for (std::size_t i = 0; i < aUnits.size(); ++i) {
+    const PlacementUnit& unit = aUnits[i];
+    const QueueLevel level{ unit.mPool, unit.mPriority };
+    if (unit.mPriority > 0 && !unit.mStep->mLongRunning &&
+        aLeader.mAccountShares.IsContended(level)) {
+      places[level].push_back(i);
+    }
+  }
+  for (const auto& [level, indices] : places) {
+    std::vector<PlacementUnit> units;
+    units.reserve(indices.size());
+    for (const std::size_t i : indices) {
+      units.push_back(std::move(aUnits[i]));
+    }
+    aLeader.mAccountShares.Order(level, units);
+    for (std::size_t n = 0; n < indices.size(); ++n) {
+      aUnits[indices[n]] = std::move(units[n]);
+    }
+  }
+}
+
 } // namespace
 
 std::vector<PlacementUnit>
@@ -194,6 +270,11 @@
     [&sortKey](const PlacementUnit& aLeft, const PlacementUnit& aRight) {
       return sortKey(aLeft) < sortKey(aRight);
     });
+  if (aLeader.mOptions.mPolicies.mAccountShares) {
+    aLeader.mAccountShares.Begin(
+      CollectAccountUses(aLeader, aViews, aGuarantees), aLeader.mNow);
+    OrderByAccounts(aLeader, units);
+  }
   return units;
 }
 
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -276,6 +276,10 @@
       leader.mAgents[agent].mTarget = target;
     }
   }
+  if (leader.mOptions.mPolicies.mAccountShares) {
+    leader.mAccountShares.AdoptDebts(
+      leader.mState->LatestObservations().mDebts);
+  }
   StoreCatalogForDeltas(leader);
   for (const WorkloadId& id : leader.mState->Active()) {
     const WorkloadRecord* workload = leader.mState->Find(id);
--- a/dogwooddrum/service/SettingsKeys.cpp
+++ b/dogwooddrum/service/SettingsKeys.cpp
@@ -515,9 +515,10 @@
   using coordination::workloads::Policies;
   const auto policy = [](std::string_view aKey,
                          const AnyFieldAccessor& aAccessor,
-                         std::string_view aDescription) {
-    return SettingsKey{ "control", aKey,   aAccessor, "",          0,
-                        0,         "true", false,     aDescription };
+                         std::string_view aDescription,
+                         std::string_view aDefault = "true") {
+    return SettingsKey{ "control", aKey,     aAccessor, "",          0,
+                        0,         aDefault, false,     aDescription };
   };
   return {
     policy("urgent_headroom",
@@ -568,8 +569,9 @@
       "Whether run times are expected by the distribution of finished runs."),
     policy("account_shares",
            kPolicyField<&Policies::mAccountShares>,
-           "Whether the client accounts of a priority share what it uses of a "
-           "pool."),
+           "Whether the client accounts of a priority that is not urgent share "
+           "what it uses of a pool.",
+           "false"),
     policy("admission",
            kPolicyField<&Policies::mAdmission>,
            "Whether work that cannot end in time is refused at once."),
--- a/tests/correctness/WorkloadPolicies.cpp
+++ b/tests/correctness/WorkloadPolicies.cpp
@@ -66,6 +66,22 @@
   }
 }
 
+// Off by default, so that a key has to switch it on.
+TEST(WorkloadPolicies, KeySwitchesAccountSharesOn)
+{
+  const std::string rest = "[common]\nrole = control\nname = c\nregion = r\n"
+                           "zone = z\nlink_port = 7101\nkey_file = key\n"
+                           "[control]\nmember_id = 1\n"
+                           "peers = 1=127.0.0.1:7101, 2=127.0.0.1:7102\n"
+                           "data_folder = data\n";
+  for (const bool isOn : { false, true }) {
+    const auto settings = service::ParseSettings(
+      rest + (isOn ? "account_shares = true\n" : ""), "file.ini");
+    ASSERT_TRUE(settings) << settings.LastFailure().mMessage;
+    EXPECT_EQ(settings->mControl.mPolicies.mAccountShares, isOn);
+  }
+}
+
 /** Returns the starts of a task on a worker that stalls for 30 s. */
 int
 StartsOnAStallingWorker(const WorkloadSimulationOptions& aOptions)
