Merge the shares of client accounts

Cause: client accounts compete within a priority. A leader publishes the debts with its other observations.

--- a/dogwooddrum/coordination/workloads/ObservationPublisher.cpp
+++ b/dogwooddrum/coordination/workloads/ObservationPublisher.cpp
@@ -105,9 +105,39 @@
   ImportRunTimes(aLeader);
 }
 
+void
+CollectDebts(const LeaderContext& aLeader, Observations& aObservations)
+{
+  aObservations.mDebts = aLeader.mAccountShares.Debts();
+}
+
+/** Debts decay within seconds, so that any change of who has one counts. */
+bool
+DebtsDiffer(const Observations& aPublished, const Observations& aNew)
+{
+  const auto isSameDebtor = [](const ObservedDebt& aLeft,
+                               const ObservedDebt& aRight) {
+    return aLeft.mPool == aRight.mPool && aLeft.mAccount == aRight.mAccount;
+  };
+  return !std::equal(aPublished.mDebts.begin(),
+                     aPublished.mDebts.end(),
+                     aNew.mDebts.begin(),
+                     aNew.mDebts.end(),
+                     isSameDebtor);
+}
+
+void
+AdoptDebts(LeaderContext& aLeader, const Observations& aPublished)
+{
+  if (aLeader.mOptions.mPolicies.mAccountShares) {
+    aLeader.mAccountShares.AdoptDebts(aPublished.mDebts);
+  }
+}
+
 constexpr Source kSources[] = {
   { CollectSpeeds, SpeedsDiffer, AdoptSpeeds },
   { CollectRunTimes, RunTimesDiffer, AdoptRunTimes },
+  { CollectDebts, DebtsDiffer, AdoptDebts },
 };
 
 } // namespace
