Cast the descriptor limit of a test before the sum

Cause: the lint of HostileClients found a cast of a sum whose conversion may lose precision. Change: each term is cast.

--- a/tests/error/HostileClients.cpp
+++ b/tests/error/HostileClients.cpp
@@ -158,7 +158,8 @@
   {
     rlimit limit = {};
     ::prlimit(mPid, RLIMIT_NOFILE, nullptr, &limit);
-    limit.rlim_cur = static_cast<rlim_t>(Descriptors() + aMore);
+    limit.rlim_cur =
+      static_cast<rlim_t>(Descriptors()) + static_cast<rlim_t>(aMore);
     ::prlimit(mPid, RLIMIT_NOFILE, &limit, nullptr);
   }
   bool IsAlive() const { return ::waitpid(mPid, nullptr, WNOHANG) == 0; }
