--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -243,10 +243,8 @@
     }
     mOperatorServer = std::make_unique<OperatorServer>(
       *mContext.mNetwork, *mContext.mAdapters->mOperators, mLoop);
-    return mOperatorServer->Listen(
-      ToTransportAddress(*mSettings.mOperatorAddress),
-      MakeHttpOptions(mContext),
-      *mCore);
+    const auto address = ToTransportAddress(*mSettings.mOperatorAddress);
+    return mOperatorServer->Listen(address, MakeHttpOptions(mContext), *mCore);
   }
 
   void Tick(base::Time aNow)
--- a/dogwooddrum/transport/HttpServer.cpp
+++ b/dogwooddrum/transport/HttpServer.cpp
@@ -34,17 +34,6 @@
 /** An idle connection keeps a buffer of at most this capacity. */
 constexpr std::size_t kIdleBufferBytes = 2U << 10;
 
-constexpr std::array<std::string_view, kHttpRefusalCount> kRefusalNames = {
-  "too_many_connections",
-  "connection_shed",
-  "memory_shed",
-  "header_too_large",
-  "body_too_large",
-  "framing_too_large",
-  "malformed",
-  "timed_out"
-};
-
 /** Delay after a failed accept. */
 constexpr base::Duration kAcceptRetryDelay = base::Milliseconds(50);
 
@@ -650,12 +639,6 @@
   bool mStopped = false;
 };
 
-std::string_view
-ToString(HttpRefusal aReason)
-{
-  return kRefusalNames.at(static_cast<std::size_t>(aReason));
-}
-
 base::Outcome<std::unique_ptr<HttpServer>>
 HttpServer::Listen(Network& aNetwork,
                    const Address& aAddress,
