--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -251,10 +251,9 @@
     }
     mOperatorServer = std::make_unique<OperatorServer>(
       *mContext.mNetwork, *mContext.mAdapters->mOperators, mLoop);
+    const auto address = ToTransportAddress(*mSettings.mOperatorAddress);
     auto listens =
-      mOperatorServer->Listen(ToTransportAddress(*mSettings.mOperatorAddress),
-                              MakeHttpOptions(mContext),
-                              *mCore);
+      mOperatorServer->Listen(address, MakeHttpOptions(mContext), *mCore);
     mIsServingZones = static_cast<bool>(listens);
     return listens;
   }
