Say that the admission switch has no effect yet

Cause: the reference of the settings promised that work which cannot end in time is refused at once, and gave true as the default; no code reads the switch.

Change: the default is false, and the page says that the key has no effect yet.

--- a/dogwooddrum/service/SettingsKeys.cpp
+++ b/dogwooddrum/service/SettingsKeys.cpp
@@ -574,7 +574,9 @@
            "false"),
     policy("admission",
            kPolicyField<&Policies::mAdmission>,
-           "Whether work that cannot end in time is refused at once."),
+           "Whether work that cannot end in time is refused at once; has no "
+           "effect yet.",
+           "false"),
     policy("target_bindings",
            kPolicyField<&Policies::mTargetBindings>,
            "Whether a new leader ends the runs of targets that their VMs have "
