--- a/dogwooddrum/coordination/workloads/AccountShares.cpp
+++ b/dogwooddrum/coordination/workloads/AccountShares.cpp
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cmath>
 #include <deque>
-#include <optional>
 
 namespace dogwooddrum::coordination::workloads {
 
@@ -66,6 +65,26 @@
   return aQueue.mUsed + aQueue.mDebt * share > kFarAboveShare * share;
 }
 
+/** Returns the queue whose first unit comes next, or null if all are empty. */
+Queue*
+NextQueue(std::map<base::AccountId, Queue>& aQueues, double aLevelUse)
+{
+  Queue* next = nullptr;
+  std::pair<bool, std::size_t> nextKey;
+  for (auto& [account, queue] : aQueues) {
+    if (queue.mUnits.empty()) {
+      continue;
+    }
+    const std::pair<bool, std::size_t> key{ IsFarAboveShare(queue, aLevelUse),
+                                            queue.mUnits.front() };
+    if (next == nullptr || key < nextKey) {
+      next = &queue;
+      nextKey = key;
+    }
+  }
+  return next;
+}
+
 } // namespace
 
 void
@@ -153,20 +172,8 @@
   }
   std::vector<PlacementUnit> ordered;
   ordered.reserve(aUnits.size());
-  while (ordered.size() < aUnits.size()) {
-    Queue* next = nullptr;
-    std::pair<bool, std::size_t> nextKey;
-    for (auto& [account, queue] : queues) {
-      if (queue.mUnits.empty()) {
-        continue;
-      }
-      const std::pair<bool, std::size_t> key{ IsFarAboveShare(queue, levelUse),
-                                              queue.mUnits.front() };
-      if (next == nullptr || key < nextKey) {
-        next = &queue;
-        nextKey = key;
-      }
-    }
+  for (Queue* next = NextQueue(queues, levelUse); next != nullptr;
+       next = NextQueue(queues, levelUse)) {
     // The order counts the unit as placed, so that accounts take turns.
     PlacementUnit& unit = aUnits[next->mUnits.front()];
     next->mUnits.pop_front();
