--- a/dogwooddrum/coordination/workloads/LearnedRunTimes.cpp
+++ b/dogwooddrum/coordination/workloads/LearnedRunTimes.cpp
@@ -47,6 +47,34 @@
   return false;
 }
 
+/** Returns the slowness of the slowest VM of the run's gang, or of its own. */
+double
+SlownessOf(const LeaderContext& aLeader,
+           const RunId& aRun,
+           const OpenRun& aOpen)
+{
+  const auto slownessOn = [&](const TargetIncarnation& aTarget) {
+    const auto it = aLeader.mWorkers.find(aTarget);
+    return it == aLeader.mWorkers.end()
+             ? 1
+             : aLeader.mWorkerSpeeds.SlownessOf(it->second.mAgentName);
+  };
+  double slowest = slownessOn(aOpen.mTarget);
+  const auto* workload = aLeader.mState->Find(aRun.mTask.mWorkload);
+  if (!StepOf(*workload, aRun.mTask).mGang) {
+    return slowest;
+  }
+  for (const OccurrenceRecord& occurrence : workload->mOccurrences) {
+    if (occurrence.mNumber == aRun.mTask.mOccurrence) {
+      for (const TaskRecord& task :
+           occurrence.mSteps[aRun.mTask.mStep].mTasks) {
+        slowest = std::max(slowest, slownessOn(task.mTarget));
+      }
+    }
+  }
+  return slowest;
+}
+
 bool
 UsesDistributions(const LeaderContext& aLeader)
 {
@@ -114,7 +142,11 @@
   // The run times of a step's tasks depend on each other, so that a step counts
   // once.
   const double weight = step.mGang ? 1 : 1.0 / std::max(1U, step.mCount);
-  aLeader.mRunTimeModel.Add(runTimeClass, step.mEstimateMs, runTime, 1, weight);
+  aLeader.mRunTimeModel.Add(runTimeClass,
+                            step.mEstimateMs,
+                            runTime,
+                            SlownessOf(aLeader, aChange.mRun, aOpen),
+                            weight);
 }
 
 base::Duration
--- a/dogwooddrum/service/SettingsKeys.h
+++ b/dogwooddrum/service/SettingsKeys.h
@@ -54,6 +54,11 @@
 const std::vector<SettingsKey>&
 SettingsKeys();
 
+/** Returns the switches of the scheduler of workloads, which are part of all
+ * keys. Thread safe. */
+std::vector<SettingsKey>
+PolicyKeys();
+
 /** Describes the allowed values of aKey, for messages and the reference. */
 std::string
 AllowedValues(const SettingsKey& aKey);
