--- a/tests/correctness/RunTimeModel.cpp
+++ b/tests/correctness/RunTimeModel.cpp
@@ -12,7 +12,6 @@
 
 using coordination::workloads::ExpectedRemaining;
 using coordination::workloads::RunTimeClass;
-using coordination::workloads::RunTimeExpectation;
 using coordination::workloads::RunTimeModel;
 
 RunTimeClass
@@ -43,7 +42,8 @@
 {
   RunTimeModel model;
   for (int i = 0; i < aSamples; ++i) {
-    const std::int64_t ms = (4000 + i * 37 % 2000) * (i % 25 == 24 ? 7 : 1);
+    const std::int64_t typicalMs = 4000 + i * 37 % 2000;
+    const std::int64_t ms = i % 25 == 24 ? 7 * typicalMs : typicalMs;
     const std::uint64_t estimate = 625U << (i * 5 % 7);
     Add(model, ClassOf("a"), estimate, ms);
   }
