--- a/review/fleet/Fleet.cpp
+++ b/review/fleet/Fleet.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <random>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -152,11 +153,13 @@
   std::string seeds;
   std::string links;
   std::string peers;
-  for (int zone = 1; zone <= kZones; ++zone) {
-    const std::string comma = zone == 1 ? "" : ",";
-    seeds += comma + ToString(AddressOf(NameOf("control", zone), kServicePort));
-    links += comma + ToString(LinkAddress(zone));
-    peers += comma + std::to_string(zone) + "=" + ToString(LinkAddress(zone));
+  for (const int control : mControls) {
+    const std::string comma = seeds.empty() ? "" : ",";
+    seeds +=
+      comma + ToString(AddressOf(NameOf("control", control), kServicePort));
+    links += comma + ToString(LinkAddress(control));
+    peers +=
+      comma + std::to_string(control) + "=" + ToString(LinkAddress(control));
   }
   const auto address = AddressOf(aName, 0);
   const bool isEntry = role == "entry";
@@ -180,7 +183,9 @@
     text += mOptions.mHasProxies
               ? "member_id = " + std::to_string(NumberOf(aName)) +
                   "\npeers = " + peers
-              : "seeds = " + seeds + "\nbootstrap = true\ntolerated_losses = 1";
+              : "seeds = " + seeds +
+                  "\nbootstrap = " + (mIsFirstStart ? "true" : "false") +
+                  "\ntolerated_losses = 1";
     return text + "\n";
   }
   text += mOptions.mHasProxies
@@ -300,6 +305,7 @@
     }
   }
   SleepMs(kLeaseMs);
+  mIsFirstStart = false;
   mRecord.Add("the deployment serves");
   return true;
 }
@@ -312,8 +318,8 @@
   constexpr std::int64_t kGiveUpMs = 10000;
   const auto deadline = NowMs() + kGiveUpMs;
   int status = 0;
-  for (int zone = 1; NowMs() < deadline; zone = zone % kZones + 1) {
-    status = Call(AddressOf(NameOf("control", zone), kServicePort),
+  for (std::size_t i = 0; NowMs() < deadline; i = (i + 1) % mControls.size()) {
+    status = Call(AddressOf(NameOf("control", mControls[i]), kServicePort),
                   "PUT",
                   "/-/config",
                   {},
@@ -330,24 +336,56 @@
   return status;
 }
 
+HttpAnswer
+Fleet::ReadConfig(int aControl)
+{
+  constexpr std::int64_t kTimeoutMs = 1000;
+  return Call(AddressOf(NameOf("control", aControl), kServicePort),
+              "GET",
+              "/-/config",
+              {},
+              {},
+              kTimeoutMs);
+}
+
 int
 Fleet::FindLeader()
 {
-  constexpr std::int64_t kTimeoutMs = 500;
-  for (int zone = 1; zone <= kZones; ++zone) {
-    const auto answer = Call(AddressOf(NameOf("control", zone), kServicePort),
-                             "GET",
-                             "/-/config",
-                             {},
-                             {},
-                             kTimeoutMs);
-    if (answer.mStatus == kOk) {
-      return zone;
+  for (const int control : mControls) {
+    if (ReadConfig(control).mStatus == kOk) {
+      return control;
     }
   }
   return 0;
 }
 
+void
+Fleet::SetControls(const std::vector<int>& aControls)
+{
+  mControls = aControls;
+  for (const auto& [name, pid] : mPids) {
+    std::ofstream(mOptions.mFolder + "/" + name + ".ini") << MakeSettings(name);
+  }
+}
+
+void
+Fleet::WipeDisk(const std::string& aName) const
+{
+  std::filesystem::remove_all(mOptions.mFolder + "/data-" +
+                              std::to_string(NumberOf(aName)));
+}
+
+bool
+Fleet::IsRunning(const std::string& aName)
+{
+  const auto it = mPids.find(aName);
+  if (it != mPids.end() && ::waitpid(it->second, nullptr, WNOHANG) != 0) {
+    mPids.erase(it);
+    return false;
+  }
+  return it != mPids.end();
+}
+
 HttpAnswer
 Fleet::CallEntry(int aZone,
                  const std::string& aMethod,
--- a/review/fleet/Fleet.h
+++ b/review/fleet/Fleet.h
@@ -51,8 +51,10 @@
   /** Hands in a configuration, to one node after the other. Returns the last
    * status. */
   int PutConfig(const Json& aConfig);
-  /** Returns the zone of the member that answers as the leader, or 0. */
+  /** Returns the number of the member that answers as the leader, or 0. */
   int FindLeader();
+  /** Reads the configuration at a member. */
+  HttpAnswer ReadConfig(int aControl);
   /** Makes the call of a client at the entry of a zone. */
   HttpAnswer CallEntry(int aZone,
                        const std::string& aMethod,
@@ -69,7 +71,15 @@
   /** Cuts links with a reset; an empty rule heals all cuts. */
   void Cut(CutRule aRule);
   void StartProcess(const std::string& aName);
+  /** Sets the numbers of the control members that serve, to which operators
+   * turn and which the settings of all processes name, at most three. */
+  void SetControls(const std::vector<int>& aControls);
+  /** Removes all data of a control member. Precondition: it does not run. */
+  void WipeDisk(const std::string& aName) const;
+  bool IsRunning(const std::string& aName);
   void Signal(const std::string& aName, int aSignal);
+  /** Returns the minion of an agent. Precondition: Start. */
+  Minion& MinionOf(int aAgent) { return *mMinions.at(aAgent - 1); }
 
   const Starts& AllStarts() const { return mStarts; }
 
@@ -89,6 +99,8 @@
   Starts mStarts;
   mutable std::mutex mMutex; ///< guards mCutRule
   CutRule mCutRule;
+  std::vector<int> mControls = { 1, 2, 3 };
+  bool mIsFirstStart = true;
   std::map<std::string, pid_t> mPids;
   std::vector<std::unique_ptr<LinkProxy>> mProxies;
   std::vector<std::unique_ptr<Minion>> mMinions;
--- a/review/fleet/Minion.cpp
+++ b/review/fleet/Minion.cpp
@@ -113,13 +113,11 @@
   constexpr std::int64_t kTimeoutMs = 1000;
   constexpr std::int64_t kPauseMs = 50;
   std::int64_t nextMs = NowMs();
-  std::uint64_t sequence = 0;
   while (!mStopped) {
-    {
-      const std::lock_guard<std::mutex> lock(mMutex);
-      EndDueRuns();
-    }
-    if (NowMs() >= nextMs) {
+    std::unique_lock<std::mutex> lock(mMutex);
+    EndDueRuns();
+    CarryOutLateStarts();
+    if (NowMs() >= nextMs && !mIsCutOff) {
       const Json body = { { "service", mOptions.mService },
                           { "addr", ToString(mOptions.mAddress) },
                           { "zone", mOptions.mZone },
@@ -133,8 +131,9 @@
                               { "gpu", mOptions.mCores } } },
                           { "labels", { "a", mOptions.mRack } },
                           { "clock_ms", ClockMs() },
-                          { "seq", ++sequence },
+                          { "seq", ++mSequence },
                           { "born", mBornUnixMs } };
+      lock.unlock();
       const auto answer = Call(mOptions.mAnnounceTo,
                                "PUT",
                                "/-/instances/" + mOptions.mId,
@@ -142,6 +141,8 @@
                                body.dump(),
                                kTimeoutMs);
       nextMs = NowMs() + (answer.mStatus == kOk ? kHeartbeatMs : kPauseMs);
+    } else {
+      lock.unlock();
     }
     SleepMs(kPauseMs);
   }
@@ -151,6 +152,7 @@
 Minion::Serve(int aSocket)
 {
   constexpr std::int64_t kIdleMs = 60000;
+  constexpr std::int64_t kUnansweredMs = 1000;
   std::string buffer;
   while (!mStopped) {
     const auto request = ReadMessage(aSocket, buffer, NowMs() + kIdleMs);
@@ -162,6 +164,10 @@
       begin, request->mStartLine.find(' ', begin) - begin);
     const auto call = Json::parse(request->mBody, nullptr, false);
     const auto instance = request->mHeaders.find("dogwooddrum-expect-instance");
+    if (IsUnanswered(path, call)) {
+      SleepMs(kUnansweredMs);
+      return;
+    }
     Json answer = Json::object();
     int status = kBadRequest;
     if (instance != request->mHeaders.end() &&
@@ -181,6 +187,78 @@
   }
 }
 
+void
+Minion::DelayNextStart(std::int64_t aLateMs)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mNextStartLateMs = aLateMs;
+}
+
+void
+Minion::CutOff(bool aIsCutOff)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mIsCutOff = aIsCutOff;
+  mRecord.Add(mOptions.mId + (aIsCutOff ? " is cut off" : " is reached again"));
+}
+
+void
+Minion::StartAgain()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  while (!mRuns.empty()) {
+    EndRun(std::string(mRuns.begin()->first), "lost");
+  }
+  mHighestEnded.clear();
+  mEnded = Json::array();
+  mEndTimes.clear();
+  mLastEnd = 0;
+  mToken = 0;
+  mDeadlineMs = 0;
+  mSequence = 0;
+  mBornMs = NowMs();
+  mBornUnixMs = UnixNowMs();
+  mRecord.Add(mOptions.mId + " has crashed and starts again under its id");
+}
+
+bool
+Minion::IsUnanswered(const std::string& aPath, const Json& aCall)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mIsCutOff) {
+    return true;
+  }
+  if (aPath != "/-/run-start" || mNextStartLateMs == 0) {
+    return false;
+  }
+  mLateStarts.emplace_back(NowMs() + mNextStartLateMs, aCall);
+  mNextStartLateMs = 0;
+  mRecord.Add(mOptions.mId + " leaves an order to start " +
+              aCall.value("task", std::string()) + " unanswered");
+  return true;
+}
+
+void
+Minion::CarryOutLateStarts()
+{
+  std::vector<std::pair<std::int64_t, Json>> waiting;
+  waiting.swap(mLateStarts);
+  for (auto& [dueMs, call] : waiting) {
+    if (NowMs() < dueMs) {
+      mLateStarts.emplace_back(dueMs, call);
+      continue;
+    }
+    Json answer = Json::object();
+    if (call.value("fencing_token", std::uint64_t(0)) < mToken) {
+      answer["reason"] = "fence";
+    } else {
+      HandleStart(call, answer);
+    }
+    mRecord.Add(mOptions.mId + " carries out a late order: " +
+                answer.value("reason", std::string("accepted")));
+  }
+}
+
 int
 Minion::Handle(const std::string& aPath, const Json& aCall, Json& aAnswer)
 {
--- a/review/fleet/Minion.h
+++ b/review/fleet/Minion.h
@@ -91,6 +91,13 @@
   Minion& operator=(const Minion&) = delete;
 
   bool IsOpen() const { return mServer->IsOpen(); }
+  /** Leaves the next order to start a task unanswered and carries it out
+   * aLateMs later; 0: answers the next one. */
+  void DelayNextStart(std::int64_t aLateMs);
+  /** While cut off, answers nobody and announces nothing. */
+  void CutOff(bool aIsCutOff);
+  /** Crashes and starts again under its id. */
+  void StartAgain();
 
 private:
   struct Run
@@ -109,15 +116,22 @@
   void EndDueRuns();
   void EndRun(const std::string& aTask, const std::string& aHow);
   void Announce();
+  /** Returns whether the call is left unanswered. */
+  bool IsUnanswered(const std::string& aPath, const Json& aCall);
+  void CarryOutLateStarts();
   std::int64_t ClockMs() const { return NowMs() - mBornMs; }
 
   const MinionOptions mOptions;
   Record& mRecord;
   Starts& mStarts;
-  const std::int64_t mBornMs = NowMs();
-  const std::int64_t mBornUnixMs;
   std::atomic<bool> mStopped{ false };
   std::mutex mMutex; ///< guards the members below
+  std::int64_t mBornMs = NowMs();
+  std::int64_t mBornUnixMs;
+  std::uint64_t mSequence = 0;
+  bool mIsCutOff = false;
+  std::int64_t mNextStartLateMs = 0;
+  std::vector<std::pair<std::int64_t, Json>> mLateStarts; ///< by due time
   std::uint64_t mToken = 0;
   std::int64_t mDeadlineMs = 0;
   std::map<std::string, Run> mRuns;
