--- a/review/fleet/Minion.cpp
+++ b/review/fleet/Minion.cpp
@@ -112,12 +112,14 @@
 {
   constexpr std::int64_t kTimeoutMs = 1000;
   constexpr std::int64_t kPauseMs = 50;
-  std::int64_t nextMs = NowMs();
   while (!mStopped) {
     std::unique_lock<std::mutex> lock(mMutex);
     EndDueRuns();
     CarryOutLateStarts();
-    if (NowMs() >= nextMs && !mIsCutOff) {
+    if (NowMs() >= mNextBeatMs && mIsCutOff) {
+      mNextBeatMs += kHeartbeatMs;
+      lock.unlock();
+    } else if (NowMs() >= mNextBeatMs) {
       const Json body = { { "service", mOptions.mService },
                           { "addr", ToString(mOptions.mAddress) },
                           { "zone", mOptions.mZone },
@@ -140,7 +142,9 @@
                                {},
                                body.dump(),
                                kTimeoutMs);
-      nextMs = NowMs() + (answer.mStatus == kOk ? kHeartbeatMs : kPauseMs);
+      lock.lock();
+      mNextBeatMs = NowMs() + (answer.mStatus == kOk ? kHeartbeatMs : kPauseMs);
+      lock.unlock();
     } else {
       lock.unlock();
     }
@@ -216,6 +220,7 @@
   mToken = 0;
   mDeadlineMs = 0;
   mSequence = 0;
+  mNextBeatMs = NowMs();
   mBornMs = NowMs();
   mBornUnixMs = UnixNowMs();
   mRecord.Add(mOptions.mId + " has crashed and starts again under its id");
--- a/review/fleet/Minion.h
+++ b/review/fleet/Minion.h
@@ -94,7 +94,7 @@
   /** Leaves the next order to start a task unanswered and carries it out
    * aLateMs later; 0: answers the next one. */
   void DelayNextStart(std::int64_t aLateMs);
-  /** While cut off, answers nobody and announces nothing. */
+  /** While cut off, answers nobody, and its heartbeats are lost. */
   void CutOff(bool aIsCutOff);
   /** Crashes and starts again under its id. */
   void StartAgain();
@@ -129,6 +129,7 @@
   std::int64_t mBornMs = NowMs();
   std::int64_t mBornUnixMs;
   std::uint64_t mSequence = 0;
+  std::int64_t mNextBeatMs = NowMs();
   bool mIsCutOff = false;
   std::int64_t mNextStartLateMs = 0;
   std::vector<std::pair<std::int64_t, Json>> mLateStarts; ///< by due time
