--- a/tests/platform/PlannedReplacement.cpp
+++ b/tests/platform/PlannedReplacement.cpp
@@ -140,5 +140,37 @@
   }
 }
 
+// With a spare, the group has all its votes during a restart, and the member
+// that comes back is the next spare.
+TEST_F(PlannedReplacement, RestartBesideASpareLeavesNoVoteMissing)
+{
+  Replace("control1", "control4");
+  EXPECT_TRUE(mGroup.IsReady("control4")) << "the spare has the vote";
+  mGroup.Start("control1");
+  ASSERT_TRUE(PutConfiguration());
+  EXPECT_TRUE(Eventually(
+    [this] {
+      return !mGroup.LogLines("control4", "(learner)=127.0.50.1:").empty();
+    },
+    kRecoveryLimit));
+  EXPECT_TRUE(CanReadConfiguration());
+}
+
+// The lost disk was one of those that the final fault of a day may take.
+TEST_F(PlannedReplacement, AllAreKilledAndADiskIsLostRightAfterAMemberLeft)
+{
+  Replace("control2", "control4");
+  ASSERT_TRUE(PutConfiguration());
+  for (const std::string& name : mNames) {
+    mGroup.Kill(name);
+  }
+  mGroup.WipeDisk("control1");
+  for (const std::string& name : mNames) {
+    mGroup.WriteControl(name, mNames, false, 1);
+    mGroup.Start(name);
+  }
+  EXPECT_TRUE(CanReadConfiguration());
+}
+
 } // namespace
 } // namespace dogwooddrum::tests
