Confirm with a quorum that a workload to be cancelled does not exist

What callers saw: a client cancelled a job through an entry whose leader was cut off from the other members, and got 410 at once.

Cause: a leader goes on for up to a second after its last contact, while the others elect the next one. Reads wait for a quorum round for that reason. A cancelling was not taken for a read, though of an unknown job it proposes nothing that a commit would confirm. The same held for the refusal of a submission to a queue that the leader does not know.

Change: both wait for a quorum round if they would be answered from the state as it is. Cancellings of known jobs are proposed as before. Cancellings on the product's own interface did so already.

--- a/dogwooddrum/coordination/control/Coordinator.cpp
+++ b/dogwooddrum/coordination/control/Coordinator.cpp
@@ -339,7 +339,7 @@
   mImpl->mNow = aNow;
   if (!mImpl->mIsLeader) {
     Send(*mImpl, aSession, MakeRedirect(*mImpl));
-  } else if (workloads::WorkloadScheduler::NeedsConfirmedRead(aRequest)) {
+  } else if (mImpl->mWorkloadScheduler.NeedsConfirmedRead(aRequest)) {
     mImpl->mNextReadBatch.emplace_back(
       DeferredWorkloadRead{ aSession, aRequest });
   } else {
--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -168,6 +168,10 @@
 
 // Requests.
 
+/** Returns whether the request is answered from the state as it is. */
+bool
+NeedsConfirmedRead(const LeaderContext& aLeader,
+                   const protocol::WorkloadRequest& aRequest);
 void
 HandleRequest(LeaderContext& aLeader,
               Session aSession,
--- a/dogwooddrum/coordination/workloads/Requests.cpp
+++ b/dogwooddrum/coordination/workloads/Requests.cpp
@@ -204,6 +204,34 @@
   }
 };
 
+/** Whether a request needs a quorum round. A commit is one by itself, so that
+ * requests that propose a change need none. */
+struct ConfirmedReadVisitor
+{
+  const LeaderContext& mLeader;
+
+  bool operator()(const protocol::SubmitWorkload& aRequest) const
+  {
+    return mLeader.mState->Find(aRequest.mId) == nullptr &&
+           FindQueue(mLeader.mState->CurrentCatalog(), aRequest.mQueue) ==
+             nullptr;
+  }
+  bool operator()(const protocol::CancelWorkload& aRequest) const
+  {
+    const auto* workload = mLeader.mState->Find(aRequest.mId);
+    return workload == nullptr
+             ? mLeader.mPendingSubmits.count(aRequest.mId) == 0
+             : workload->mQueueName != aRequest.mQueue;
+  }
+  bool operator()(const protocol::ReplaceCatalog&) const { return false; }
+  bool operator()(const protocol::SetZoneEvacuation&) const { return false; }
+  template<typename Read>
+  bool operator()(const Read&) const
+  {
+    return true;
+  }
+};
+
 /** Answers all requests that wait for aId: as accepted if the workload exists,
  * else as unknown. */
 void
@@ -283,6 +311,13 @@
 
 } // namespace
 
+bool
+NeedsConfirmedRead(const LeaderContext& aLeader,
+                   const protocol::WorkloadRequest& aRequest)
+{
+  return std::visit(ConfirmedReadVisitor{ aLeader }, aRequest.mBody);
+}
+
 void
 HandleRequest(LeaderContext& aLeader,
               Session aSession,
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -308,13 +308,10 @@
 }
 
 bool
-WorkloadScheduler::NeedsConfirmedRead(const protocol::WorkloadRequest& aRequest)
+WorkloadScheduler::NeedsConfirmedRead(
+  const protocol::WorkloadRequest& aRequest) const
 {
-  const auto& body = aRequest.mBody;
-  return std::holds_alternative<protocol::ReadWorkload>(body) ||
-         std::holds_alternative<protocol::CountWaitingWorkloads>(body) ||
-         std::holds_alternative<protocol::ReadCatalog>(body) ||
-         std::holds_alternative<protocol::ListEvacuations>(body);
+  return workloads::NeedsConfirmedRead(*mImpl, aRequest);
 }
 
 void
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.h
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.h
@@ -128,10 +128,11 @@
 
   // Precondition of the following functions: this member leads.
 
-  /** Returns whether the request is a read, which must wait for a quorum
-   * round. */
-  static bool NeedsConfirmedRead(const protocol::WorkloadRequest& aRequest);
-  /** Handles a request. Precondition: a read's quorum round is complete. */
+  /** Returns whether the request must wait for a quorum round: it is answered
+   * from the state as it is, which is outdated if there is a newer leader. */
+  bool NeedsConfirmedRead(const protocol::WorkloadRequest& aRequest) const;
+  /** Handles a request. Precondition: its quorum round is complete, if it needs
+   * one. */
   void OnRequest(Session aSession,
                  const protocol::WorkloadRequest& aRequest,
                  base::Time aNow);
--- a/tests/error/StaleLeader.cpp
+++ b/tests/error/StaleLeader.cpp
@@ -89,6 +89,67 @@
   EXPECT_TRUE(std::holds_alternative<protocol::NotLeader>(reply.mBody));
 }
 
+protocol::WorkloadRequest
+MakeWorkloadRequest(protocol::WorkloadRequestBody aBody)
+{
+  protocol::WorkloadRequest request;
+  request.mId = base::RequestId(9001);
+  request.mBody = std::move(aBody);
+  return request;
+}
+
+/** Sends the leader a request and returns the read that it waits for. */
+coordination::consensus::ReadId
+ExpectConfirmedRead(JobSimulation& aSimulation,
+                    const protocol::WorkloadRequest& aRequest)
+{
+  aSimulation.Leader().OnWorkloadRequest(
+    JobSimulation::EntrySession(0), aRequest, aSimulation.Now());
+  const auto out = aSimulation.Leader().TakeOutput();
+  EXPECT_TRUE(out.mMessages.empty()) << "answered without a quorum";
+  EXPECT_EQ(out.mReads.size(), 1U);
+  return out.mReads.empty() ? coordination::consensus::ReadId()
+                            : out.mReads.front();
+}
+
+// A leader that was cut off told a client that its job did not exist, which the
+// next leader had accepted and ran on.
+TEST(StaleLeader, CancellingOfAnUnknownWorkloadNeedsAQuorum)
+{
+  JobSimulation simulation;
+  simulation.Boot();
+  const auto request = MakeWorkloadRequest(protocol::CancelWorkload{
+    protocol::WorkloadId("5c0e7a21d94b36f8"), protocol::QueueName("q") });
+  const auto failed = ExpectConfirmedRead(simulation, request);
+  simulation.Leader().OnReadFailed(failed, simulation.Now());
+  auto out = simulation.Leader().TakeOutput();
+  ASSERT_EQ(out.mMessages.size(), 1U);
+  EXPECT_TRUE(
+    std::holds_alternative<protocol::NotLeader>(out.mMessages[0].mMessage));
+  const auto confirmed = ExpectConfirmedRead(simulation, request);
+  simulation.Leader().OnReadConfirmed(confirmed, simulation.Now());
+  out = simulation.Leader().TakeOutput();
+  ASSERT_EQ(out.mMessages.size(), 1U);
+  const auto& reply =
+    std::get<protocol::WorkloadReply>(out.mMessages[0].mMessage);
+  EXPECT_EQ(reply.mResult, protocol::WorkloadResult::Unknown);
+}
+
+// The same leader does not know the queues of a newer catalog.
+TEST(StaleLeader, SubmissionToAnUnknownQueueNeedsAQuorum)
+{
+  JobSimulation simulation;
+  simulation.Boot();
+  protocol::SubmitWorkload submit;
+  submit.mId = protocol::WorkloadId("5c0e7a21d94b36f8");
+  submit.mQueue = protocol::QueueName("q");
+  submit.mSpec.mSteps.emplace_back();
+  const auto read =
+    ExpectConfirmedRead(simulation, MakeWorkloadRequest(submit));
+  simulation.Leader().OnReadConfirmed(read, simulation.Now());
+  EXPECT_EQ(simulation.Leader().TakeOutput().mMessages.size(), 1U);
+}
+
 TEST(StaleLeader, FollowerRedirectsToTheLeader)
 {
   JobSimulation simulation(TwoMemberOptions());
