Restart a gang that lasts after it has ended done

Cause: ResolveGangRun set all members to done without a look at the step; ResolveTaskRun, its counterpart for single tasks, makes that exception.

Change: a gang that lasts waits for its next start after any end.

--- a/dogwooddrum/coordination/workloads/State.cpp
+++ b/dogwooddrum/coordination/workloads/State.cpp
@@ -71,7 +71,7 @@
   }
   for (TaskRecord& task : aStep.mTasks) {
     if (aStep.mRunDone) {
-      task.mPhase = TaskPhase::Done;
+      task.mPhase = aSpec.mLongRunning ? TaskPhase::Waiting : TaskPhase::Done;
       continue;
     }
     task.mFailures += aStep.mRunFailed ? 1 : 0;
--- a/tests/correctness/WorkloadLifecycle.cpp
+++ b/tests/correctness/WorkloadLifecycle.cpp
@@ -63,6 +63,26 @@
   EXPECT_EQ(sim.Phase("b"), WorkloadPhase::Complete);
 }
 
+// A gang that runs until it is cancelled was shown as complete and never started
+// again once it had ended as done.
+TEST(WorkloadLifecycle, LongRunningWorkRestartsAfterItEndedDone)
+{
+  for (const bool isGang : { false, true }) {
+    WorkloadSimulation sim({});
+    sim.RunFor(500);
+    auto spec = OneStepSpec(2, 1000, 1, isGang);
+    spec.mSteps[0].mLongRunning = true;
+    sim.SetRunTime("a", 2000);
+    sim.Submit("a", "p1", spec);
+    sim.RunFor(10000);
+    EXPECT_EQ(sim.Phase("a"), WorkloadPhase::Running) << isGang;
+    EXPECT_GE(sim.StartCount("a"), 6) << isGang;
+    sim.Cancel("a");
+    sim.RunFor(1500);
+    EXPECT_EQ(sim.Phase("a"), WorkloadPhase::Cancelled) << isGang;
+  }
+}
+
 TEST(WorkloadLifecycle, HonoursTheLimitPerWorker)
 {
   WorkloadSimulation sim({});
