Drop an include that the control host no longer needs

Cause: the log of a process that seeks its group moved to GroupSeeker, with the only use of this header. Result: the daemon builds; no change of behaviour.

--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -2,7 +2,6 @@
 #include "dogwooddrum/daemon/ControlCore.h"
 #include "dogwooddrum/daemon/ControlCoreSettings.h"
 #include "dogwooddrum/daemon/DataFolder.h"
-#include "dogwooddrum/daemon/ElectionLog.h"
 #include "dogwooddrum/daemon/EventLoop.h"
 #include "dogwooddrum/daemon/GroupSeeker.h"
 #include "dogwooddrum/daemon/Host.h"
