Send SIGTERM to the member that the soak replaces as planned

Cause: the soak killed the member that leaves, so that it never played a planned end as platforms do it. Change: the member gets SIGTERM and 6 s; replacements without a plan still kill.

--- a/tests/platform/soak/Soak.cpp
+++ b/tests/platform/soak/Soak.cpp
@@ -34,6 +34,8 @@
 /** Time in which the group repairs itself after a member or disk is lost; no
  * other one is lost before. */
 constexpr std::int64_t kRepairMs = 12000;
+/** Time after SIGTERM after which the platform kills a process. */
+constexpr std::int64_t kGraceMs = 6000;
 /** Most open workloads per target. The targets complete them in about half of
  * kSettleLimitMs; without a limit, runs of a minute left a longer queue. */
 constexpr int kOpenPerTarget = 30;
@@ -294,14 +296,17 @@
     StartSuccessor();
   }
 
-  /** Starts an empty member at another address; 5 s later a member leaves. */
+  /** Starts an empty member at another address; 5 s later a member gets SIGTERM
+   * and leaves. */
   void ReplacePlanned()
   {
     const int old = RandomControl();
+    const std::string name = "control" + std::to_string(old);
     StartSuccessor();
     RunFor(5000, false);
-    std::printf("remove control%d\n", old);
-    mFaultEnds.erase("control" + std::to_string(old));
+    std::printf("terminate and remove %s\n", name.c_str());
+    mFaultEnds.erase(name);
+    mProcesses.Terminate(name, kGraceMs);
     mProcesses.RemoveControl(old);
   }
 
--- a/tests/platform/soak/SoakProcesses.cpp
+++ b/tests/platform/soak/SoakProcesses.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 extern char** environ;
@@ -167,6 +168,25 @@
   }
 }
 
+void
+SoakProcesses::Terminate(const std::string& aName, std::int64_t aLimitMs)
+{
+  const auto it = mPids.find(aName);
+  if (it == mPids.end()) {
+    return;
+  }
+  const auto end = SoakNowMs() + aLimitMs;
+  ::kill(it->second, SIGTERM);
+  while (::waitpid(it->second, nullptr, WNOHANG) == 0) {
+    if (SoakNowMs() >= end) {
+      Kill(aName);
+      return;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  mPids.erase(it);
+}
+
 void
 SoakProcesses::KillAll()
 {
--- a/tests/platform/soak/SoakProcesses.h
+++ b/tests/platform/soak/SoakProcesses.h
@@ -60,6 +60,9 @@
   void Start(const std::string& aName);
   /** Kills a process and waits for its end. */
   void Kill(const std::string& aName);
+  /** Sends SIGTERM and waits for the end of a process; kills it after
+   * aLimitMs. */
+  void Terminate(const std::string& aName, std::int64_t aLimitMs);
   /** Kills all processes, and waits for their ends only then. */
   void KillAll();
   void Signal(const std::string& aName, int aSignal) const;
