Believe only the present leader that no successor waits

Cause: a leader that is deposed and does not know it yet may answer the announcement of a member's end. Its word that no learner waits would let the member leave although the next leader has one.

Change: only the leader that the member follows is believed, except that its removal is committed. With it, the repair's look-ups of members use the one function for it, and the texts of its log are functions of their own.

--- a/dogwooddrum/coordination/consensus/Departure.cpp
+++ b/dogwooddrum/coordination/consensus/Departure.cpp
@@ -2,8 +2,6 @@
 
 #include "dogwooddrum/coordination/consensus/MembershipSwap.h"
 
-#include <algorithm>
-
 namespace dogwooddrum::coordination::consensus {
 
 using protocol::LeaveAnswer;
@@ -17,12 +15,10 @@
 constexpr base::Duration kMaxRequestAge = base::Milliseconds(1000);
 
 bool
-IsVoter(const Membership& aMembership, base::MemberId aMember)
+HasVote(const Membership& aMembership, base::MemberId aMember)
 {
-  return std::any_of(
-    aMembership.mMembers.begin(),
-    aMembership.mMembers.end(),
-    [&](const Member& aEach) { return aEach.mId == aMember && aEach.mVoter; });
+  const Member* member = FindMember(aMembership, aMember);
+  return member != nullptr && member->mVoter;
 }
 
 } // namespace
@@ -34,8 +30,8 @@
                           base::MemberId aMember,
                           base::Time aNow)
 {
-  const bool hasVote = IsVoter(aView.mMembership, aMember);
-  const bool isCommitted = IsVoter(aCommitted, aMember) == hasVote;
+  const bool hasVote = HasVote(aView.mMembership, aMember);
+  const bool isCommitted = HasVote(aCommitted, aMember) == hasVote;
   if (isCommitted && !hasVote) {
     mAskedAt.erase(aMember);
     return LeaveAnswer::Removed;
@@ -86,10 +82,11 @@
 }
 
 void
-Departure::OnAnswer(LeaveAnswer aAnswer)
+Departure::OnAnswer(LeaveAnswer aAnswer, bool aIsFromLeader)
 {
   // A late answer must not change that the process may end.
-  if (!mAnswer || *mAnswer == LeaveAnswer::Wait) {
+  const bool isOpen = !mAnswer || *mAnswer == LeaveAnswer::Wait;
+  if (isOpen && (aIsFromLeader || aAnswer == LeaveAnswer::Removed)) {
     mAnswer = aAnswer;
   }
 }
--- a/dogwooddrum/coordination/consensus/Departure.h
+++ b/dogwooddrum/coordination/consensus/Departure.h
@@ -48,7 +48,10 @@
   /** Returns whether to send a request to the other members now. Call often,
    * but not while this member leads. */
   bool TakeRequest(base::Time aNow);
-  void OnAnswer(protocol::LeaveAnswer aAnswer);
+  /** aIsFromLeader: the sender is the leader that this member follows. Another
+   * one may be deposed and not know the present learners, so that only its word
+   * on a committed removal counts. */
+  void OnAnswer(protocol::LeaveAnswer aAnswer, bool aIsFromLeader);
   bool HasBegun() const { return mBegunAt.has_value(); }
   /** Returns whether the process may end. */
   bool IsDone(base::Time aNow) const;
--- a/dogwooddrum/coordination/consensus/GroupRepair.cpp
+++ b/dogwooddrum/coordination/consensus/GroupRepair.cpp
@@ -51,15 +51,6 @@
   return aMembership;
 }
 
-bool
-IsMember(const GroupView& aView, base::MemberId aMember)
-{
-  const auto& members = aView.mMembership.mMembers;
-  return std::any_of(members.begin(), members.end(), [&](const Member& aEach) {
-    return aEach.mId == aMember;
-  });
-}
-
 /** Returns whether a join candidate with another id uses the address of a
  * member: the process at that address has lost its disk. */
 bool
@@ -129,7 +120,7 @@
 FindNewCandidate(const GroupView& aView)
 {
   for (const JoinCandidate& candidate : aView.mJoinCandidates) {
-    if (!IsMember(aView, candidate.mId)) {
+    if (FindMember(aView.mMembership, candidate.mId) == nullptr) {
       return &candidate;
     }
   }
@@ -174,8 +165,8 @@
 // The steps of a repair. Each returns the membership to propose, or nothing if
 // it does not apply.
 
-/** Takes the place of a voter that has lost its disk, if a learner can, else
- * removes it: its process returns as another member. */
+/** Gives the vote of a member that has lost its disk to a learner, or removes
+ * the member if there is none: its process returns as another member. */
 std::optional<Membership>
 ReplaceLostDisk(const GroupView& aView, const GroupRepairOptions& aOptions)
 {
@@ -236,8 +227,8 @@
                BeginSwap(aView.mMembership, voter->mId, learner->mId));
 }
 
-/** Keeps as many learners up to date as voters may be lost at once, so that
- * they can be promoted without delay. */
+/** Adds a learner. As many are kept up to date as voters may be lost at
+ * once, so that they can take a vote without delay. */
 std::optional<Membership>
 AddLearner(const GroupView& aView, const GroupRepairOptions& aOptions)
 {
@@ -259,6 +250,32 @@
   ReplaceLostDisk, DropLearner, AddMissingVoter, ReplaceVoter, AddLearner,
 };
 
+std::string
+NameOf(const Member& aMember)
+{
+  return "member " + std::to_string(aMember.mId.Value());
+}
+
+/** Returns why a member is replaced, for the log. */
+std::string
+DescribeLoss(const GroupView& aView, const Member& aMember)
+{
+  for (const JoinCandidate& candidate : aView.mJoinCandidates) {
+    if (candidate.mId != aMember.mId &&
+        candidate.mAddress == aMember.mAddress) {
+      return "lost disk at " + aMember.mAddress + ", now member " +
+             std::to_string(candidate.mId.Value());
+    }
+  }
+  if (IsLeaving(aView, aMember.mId)) {
+    return "it has announced its end";
+  }
+  return "unresponsive for " +
+         std::to_string(
+           base::ToMilliseconds(TimeSinceContact(aView, aMember.mId))) +
+         " ms";
+}
+
 /** Time without a leader after which a voter asks to join. Longer than most
  * elections; a request of a voter that still has its place changes nothing. */
 constexpr base::Duration kLeaderlessTimeBeforeJoin = base::Milliseconds(1500);
@@ -297,70 +314,45 @@
                   base::MemberId aSelf,
                   base::Duration aLeaderless)
 {
-  for (const Member& member : aMembership.mMembers) {
-    if (member.mId == aSelf) {
-      return aLeaderless >= (member.mVoter ? kLeaderlessTimeBeforeJoin
-                                           : base::Milliseconds(1));
-    }
+  const Member* self = FindMember(aMembership, aSelf);
+  if (self == nullptr) {
+    return true;
   }
-  return true;
+  return self->mVoter ? aLeaderless >= kLeaderlessTimeBeforeJoin
+                      : aLeaderless > base::Duration::zero();
 }
 
 std::string
 DescribeRepair(const GroupView& aView, const Membership& aNext)
 {
-  const auto name = [](const Member& aMember) {
-    return "member " + std::to_string(aMember.mId.Value());
-  };
-  const auto find = [](const Membership& aMembership, base::MemberId aId) {
-    return std::find_if(
-      aMembership.mMembers.begin(),
-      aMembership.mMembers.end(),
-      [&](const Member& aMember) { return aMember.mId == aId; });
-  };
-  const auto whyLost = [&](const Member& aMember) -> std::string {
-    for (const JoinCandidate& candidate : aView.mJoinCandidates) {
-      if (candidate.mId != aMember.mId &&
-          candidate.mAddress == aMember.mAddress) {
-        return "lost disk at " + aMember.mAddress + ", now member " +
-               std::to_string(candidate.mId.Value());
-      }
-    }
-    if (IsLeaving(aView, aMember.mId)) {
-      return "it has announced its end";
-    }
-    return "unresponsive for " +
-           std::to_string(
-             base::ToMilliseconds(TimeSinceContact(aView, aMember.mId))) +
-           " ms";
-  };
-  const Member* leaving = FindSwapRole(aView.mMembership, SwapRole::Leaving);
-  const Member* entering = FindSwapRole(aView.mMembership, SwapRole::Entering);
+  const Membership& current = aView.mMembership;
+  const Member* leaving = FindSwapRole(current, SwapRole::Leaving);
+  const Member* entering = FindSwapRole(current, SwapRole::Entering);
   if (leaving != nullptr && entering != nullptr) {
-    return find(aNext, leaving->mId) == aNext.mMembers.end()
-             ? "finish swap: " + name(*entering) + " votes in place of " +
-                 name(*leaving)
-             : "revert swap: " + name(*leaving) + " keeps its vote";
+    return FindMember(aNext, leaving->mId) == nullptr
+             ? "finish swap: " + NameOf(*entering) + " votes in place of " +
+                 NameOf(*leaving)
+             : "revert swap: " + NameOf(*leaving) + " keeps its vote";
   }
   leaving = FindSwapRole(aNext, SwapRole::Leaving);
   entering = FindSwapRole(aNext, SwapRole::Entering);
   if (leaving != nullptr && entering != nullptr) {
-    return "swap " + name(*leaving) + " for " + name(*entering) + ": " +
-           whyLost(*leaving);
+    return "swap " + NameOf(*leaving) + " for " + NameOf(*entering) + ": " +
+           DescribeLoss(aView, *leaving);
   }
-  for (const Member& member : aView.mMembership.mMembers) {
-    if (find(aNext, member.mId) == aNext.mMembers.end()) {
-      return "remove " + name(member) + ": " + whyLost(member);
+  for (const Member& member : current.mMembers) {
+    if (FindMember(aNext, member.mId) == nullptr) {
+      return "remove " + NameOf(member) + ": " + DescribeLoss(aView, member);
     }
   }
   for (const Member& member : aNext.mMembers) {
-    const auto old = find(aView.mMembership, member.mId);
-    if (old == aView.mMembership.mMembers.end()) {
+    const Member* old = FindMember(current, member.mId);
+    if (old == nullptr) {
       return "add learner " + std::to_string(member.mId.Value()) +
              ": join request from " + member.mAddress;
     }
     if (member.mVoter && !old->mVoter) {
-      return "promote " + name(member) + ": learner has caught up";
+      return "promote " + NameOf(member) + ": learner has caught up";
     }
   }
   return "no change";
--- a/dogwooddrum/coordination/consensus/MembershipSwap.cpp
+++ b/dogwooddrum/coordination/consensus/MembershipSwap.cpp
@@ -4,6 +4,17 @@
 
 namespace dogwooddrum::coordination::consensus {
 
+const Member*
+FindMember(const Membership& aMembership, base::MemberId aMember)
+{
+  for (const Member& member : aMembership.mMembers) {
+    if (member.mId == aMember) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
 const Member*
 FindSwapRole(const Membership& aMembership, SwapRole aRole)
 {
@@ -27,16 +38,11 @@
           base::MemberId aLeaving,
           base::MemberId aEntering)
 {
-  const auto has = [&](base::MemberId aMember, bool aVoter) {
-    return std::any_of(aMembership.mMembers.begin(),
-                       aMembership.mMembers.end(),
-                       [&](const Member& aEach) {
-                         return aEach.mId == aMember && aEach.mVoter == aVoter;
-                       });
-  };
+  const Member* leaving = FindMember(aMembership, aLeaving);
+  const Member* entering = FindMember(aMembership, aEntering);
   Membership next = aMembership;
-  if (IsSwapping(aMembership) || !has(aLeaving, true) ||
-      !has(aEntering, false)) {
+  if (IsSwapping(aMembership) || leaving == nullptr || !leaving->mVoter ||
+      entering == nullptr || entering->mVoter) {
     return next;
   }
   for (Member& member : next.mMembers) {
--- a/dogwooddrum/coordination/consensus/MembershipSwap.h
+++ b/dogwooddrum/coordination/consensus/MembershipSwap.h
@@ -12,6 +12,10 @@
 
 namespace dogwooddrum::coordination::consensus {
 
+/** Returns the member with the given id, or null. Thread safe. */
+const Member*
+FindMember(const Membership& aMembership, base::MemberId aMember);
+
 /** Returns the member with the given role in a swap, or null. Thread safe. */
 const Member*
 FindSwapRole(const Membership& aMembership, SwapRole aRole);
--- a/dogwooddrum/coordination/consensus/RaftState.cpp
+++ b/dogwooddrum/coordination/consensus/RaftState.cpp
@@ -2,17 +2,6 @@
 
 namespace dogwooddrum::coordination::consensus {
 
-const Member*
-FindMember(const Membership& aMembership, base::MemberId aMember)
-{
-  for (const Member& member : aMembership.mMembers) {
-    if (member.mId == aMember) {
-      return &member;
-    }
-  }
-  return nullptr;
-}
-
 bool
 IsVoter(const RaftState& aState, base::MemberId aMember)
 {
--- a/dogwooddrum/coordination/consensus/RaftState.h
+++ b/dogwooddrum/coordination/consensus/RaftState.h
@@ -121,10 +121,6 @@
   std::string mStepDownReason;
 };
 
-/** Returns the member with the given id, or null. */
-const Member*
-FindMember(const Membership& aMembership, base::MemberId aMember);
-
 /** Returns whether aMember is a voter of the newest membership. */
 bool
 IsVoter(const RaftState& aState, base::MemberId aMember);
--- a/dogwooddrum/daemon/ControlHost.cpp
+++ b/dogwooddrum/daemon/ControlHost.cpp
@@ -124,7 +124,7 @@
 
   bool IsReady() override
   {
-    // A learner or a spare may wait for as long as the group is complete.
+    // A learner or a spare has no part in the service until it has a vote.
     return mStatus.mIsVoter && mStatus.mLeaderId != 0 &&
            !mStatus.mStorageFailed;
   }
@@ -556,8 +556,8 @@
       case MessageType::LeaveReply:
         return peer.mRole == PeerRole::Control &&
                DecodeAndPost<protocol::LeaveReply>(
-                 aFrame, [this](const auto& aReply) {
-                   mDeparture.OnAnswer(aReply.mAnswer);
+                 aFrame, [this, id = peer.mId](const auto& aReply) {
+                   mDeparture.OnAnswer(aReply.mAnswer, mStatus.mLeaderId == id);
                  });
       case MessageType::WorkloadRequest:
         return peer.mRole == PeerRole::Entry &&
--- a/tests/correctness/MemberDeparture.cpp
+++ b/tests/correctness/MemberDeparture.cpp
@@ -128,23 +128,34 @@
   departure.Begin(At(0));
   EXPECT_TRUE(departure.TakeRequest(At(0)));
   EXPECT_FALSE(departure.TakeRequest(At(49)));
-  departure.OnAnswer(LeaveAnswer::Wait);
+  departure.OnAnswer(LeaveAnswer::Wait, true);
   EXPECT_FALSE(departure.IsDone(At(50)));
   EXPECT_TRUE(departure.TakeRequest(At(50)));
-  departure.OnAnswer(LeaveAnswer::Removed);
+  departure.OnAnswer(LeaveAnswer::Removed, true);
   EXPECT_TRUE(departure.IsDone(At(60)));
   EXPECT_FALSE(departure.TakeRequest(At(200)));
-  departure.OnAnswer(LeaveAnswer::Wait); // of an earlier request
+  departure.OnAnswer(LeaveAnswer::Wait, true); // of an earlier request
   EXPECT_TRUE(departure.IsDone(At(210)));
 }
 
+// A deposed leader does not know the learners of the next one.
+TEST(Departure, BelievesOnlyItsLeaderThatNoSuccessorWaits)
+{
+  Departure departure(base::Milliseconds(3000));
+  departure.Begin(At(0));
+  departure.OnAnswer(LeaveAnswer::Kept, false);
+  EXPECT_FALSE(departure.IsDone(At(10)));
+  departure.OnAnswer(LeaveAnswer::Removed, false); // is committed
+  EXPECT_TRUE(departure.IsDone(At(20)));
+}
+
 // Without a leader nobody answers; the operator's limit must hold.
 TEST(Departure, EndsAtItsLimitWithoutAnAnswer)
 {
   Departure departure(base::Milliseconds(3000));
   departure.Begin(At(0));
   departure.Begin(At(2000)); // a second signal
-  departure.OnAnswer(LeaveAnswer::Wait);
+  departure.OnAnswer(LeaveAnswer::Wait, true);
   EXPECT_FALSE(departure.IsDone(At(2999)));
   EXPECT_TRUE(departure.IsDone(At(3000)));
   EXPECT_EQ(departure.Waited(At(3000)), base::Milliseconds(3000));
--- a/tests/correctness/WorkloadLifecycle.cpp
+++ b/tests/correctness/WorkloadLifecycle.cpp
@@ -63,8 +63,8 @@
   EXPECT_EQ(sim.Phase("b"), WorkloadPhase::Complete);
 }
 
-// A gang that runs until it is cancelled was shown as complete and never started
-// again once it had ended as done.
+// A gang that runs until it is cancelled was shown as complete and never
+// started again once it had ended as done.
 TEST(WorkloadLifecycle, LongRunningWorkRestartsAfterItEndedDone)
 {
   for (const bool isGang : { false, true }) {
--- a/tests/support/PowerLossGroup.cpp
+++ b/tests/support/PowerLossGroup.cpp
@@ -438,8 +438,9 @@
                                     raft.MembershipAt(raft.CommitIndex()),
                                     id,
                                     mSimulation.Now());
-    Transfer(aTo, aMachine, [&aMachine, answer] {
-      aMachine.mDeparture->OnAnswer(answer);
+    Transfer(aTo, aMachine, [&aMachine, answer, from = aTo.mNode->Id()] {
+      aMachine.mDeparture->OnAnswer(answer,
+                                    aMachine.mNode->GetRaft().Leader() == from);
     });
   });
 }
