Stop less urgent work for a long-running task without room

Cause: among the tasks that are placed first, only those of the most urgent queue stopped other runs. A long-running task waited for what became free.

Change: long-running tasks that find no room stop runs of less urgent queues. The limit on lost work compares it with the estimated work of the unit that waits and does not apply to tasks that have no end.

--- a/dogwooddrum/coordination/workloads/Decision.cpp
+++ b/dogwooddrum/coordination/workloads/Decision.cpp
@@ -64,7 +64,8 @@
   }
 }
 
-/** Places units up to the first that is not privileged, and returns it. */
+/** Places units up to the first that is not privileged, and returns it. Stops
+ * less urgent runs for those that find no room. */
 std::vector<PlacementUnit>::iterator
 Decision::PlacePrivileged()
 {
@@ -75,8 +76,7 @@
       continue;
     }
     OnUnplaced(*it);
-    const bool isPreempting =
-      it->mPriority == 0 && PreemptFor(mLeader, *it, mViews);
+    const bool isPreempting = PreemptFor(mLeader, *it, mViews);
     if (!isPreempting && it->mCrashes.empty()) {
       fullSteps.insert(it->mStep);
     }
--- a/dogwooddrum/coordination/workloads/Stops.cpp
+++ b/dogwooddrum/coordination/workloads/Stops.cpp
@@ -40,7 +40,8 @@
 double
 AllowedLoss(const LeaderContext& aLeader, const PlacementUnit& aUnit)
 {
-  if (aUnit.mGuaranteed || !aLeader.mOptions.mPolicies.mLossLimit) {
+  if (aUnit.mGuaranteed || aUnit.mStep->mLongRunning ||
+      !aLeader.mOptions.mPolicies.mLossLimit) {
     return std::numeric_limits<double>::infinity();
   }
   return static_cast<double>(aUnit.mTasks.size()) *
--- a/dogwooddrum/coordination/workloads/Stops.h
+++ b/dogwooddrum/coordination/workloads/Stops.h
@@ -18,8 +18,9 @@
                        const std::vector<WorkerView>& aViews);
 
 /** Returns the core-seconds of other work that preemption for the unit may
- * lose: without limit within a guarantee, else no more than the unit's own
- * estimated work. */
+ * lose: without limit within a guarantee, and for long-running tasks, whose
+ * work has no end that it could be compared with; else no more than the unit's
+ * own estimated work. */
 double
 AllowedLoss(const LeaderContext& aLeader, const PlacementUnit& aUnit);
 
--- a/tests/correctness/WorkloadPreemption.cpp
+++ b/tests/correctness/WorkloadPreemption.cpp
@@ -75,6 +75,30 @@
   EXPECT_EQ(sim.StartCount("large"), 1);
 }
 
+// A long-running task was stopped for urgent work, since its stop loses least,
+// and got no room again while less urgent work ran on.
+TEST(WorkloadPreemption, LongRunningTaskStoppedForUrgentWorkGetsRoomAgain)
+{
+  WorkloadSimulationOptions options = FullPool(8);
+  options.mWorkers = 3;
+  WorkloadSimulation sim(options);
+  sim.RunFor(500);
+  sim.SetRunTime("batch", 100000);
+  sim.Submit("batch", "p2", OneStepSpec(2, 1000, 8, false), "other");
+  sim.RunFor(12000);
+  sim.SetRunTime("service", 100000);
+  auto service = OneStepSpec(1, 1000, 8, false);
+  service.mSteps[0].mLongRunning = true;
+  sim.Submit("service", "p1", service, "other");
+  sim.RunFor(2000);
+  sim.SetRunTime("urgent", 30000);
+  sim.Submit("urgent", "p0", OneStepSpec(1, 1000, 8, false));
+  sim.RunFor(6000);
+  EXPECT_EQ(sim.StartCount("urgent"), 1);
+  EXPECT_EQ(sim.StartCount("service"), 2);
+  EXPECT_EQ(sim.StartCount("batch"), 2) << "one of two waits";
+}
+
 TEST(WorkloadPreemption, SmallUrgentTasksDoNotStopANearlyDoneGang)
 {
   WorkloadSimulation sim(FullPool(0));
