--- a/review/standin-3/Cases.cpp
+++ b/review/standin-3/Cases.cpp
@@ -21,6 +21,8 @@
 constexpr std::int64_t kContactMs = 3000;
 constexpr std::int64_t kCancelMs = 3000;
 constexpr std::int64_t kStopMs = 900;
+constexpr std::int64_t kVisibleMs = 3000;
+constexpr std::int64_t kRenameWatchMs = 30000;
 
 /** A client that leaves does so after half of its objective of 1,000 ms. */
 constexpr std::int64_t kGiveUpMs = 500;
@@ -113,50 +115,52 @@
   return now;
 }
 
-/** A job whose task works on three minions that crash, one after the other. */
+/** A job whose route gets another name, with the same host, prefix and service,
+ * while its first step works. */
 int
-PlayCrashes(Fleet& aFleet)
+PlayRenamedRoute(Fleet& aFleet)
 {
   const std::string job = "5c0e7a21d94b36f8";
   const std::string path = "/leak/" + job;
-  if (!aFleet.Start({ { "r-leak", "/leak/", 1, 4 } })) {
+  if (!aFleet.Start({ { "r-ce7ejsm", "/leak/", 1, 4 } })) {
     return kNotRun;
   }
-  const auto body = MakeJob("ms=11000",
-                            { { "count", 1 },
-                              { "cpu", 26000 },
-                              { "mem_mb", 53000 },
-                              { "gpu", 4 },
-                              { "estimate_ms", 11000 } });
+  const auto step = [](const Json& aDependsOn) {
+    return Json({ { "count", 2 },
+                  { "cpu", 26000 },
+                  { "mem_mb", 53000 },
+                  { "gpu", 4 },
+                  { "estimate_ms", 4000 },
+                  { "depends_on", aDependsOn } });
+  };
+  const auto body =
+    Json({ { "spec", "ms=4000" },
+           { "steps", { step(Json::array()), step(Json::array({ 0 })) } } })
+      .dump();
   if (aFleet.Send(0, "POST", path, body).mStatus != 200) {
     return kNotRun;
   }
-  for (int crash = 0; crash < 3; ++crash) {
-    const auto start = AwaitStart(aFleet, job, 15000);
-    if (!start) {
-      break;
-    }
-    Sleep(4000);
-    if (HasTrouble()) {
-      CrashMinionOf(aFleet, job, false);
-    }
+  const auto accepted = NowMs();
+  Sleep(2000);
+  if (HasTrouble() &&
+      !aFleet.Configure(8, { { "r-zzyyjsg", "/leak/", 1, 4 } })) {
+    return kNotRun;
   }
-  const auto until = NowMs() + 40000;
+  bool isUnknown = false;
   std::string state;
-  while (NowMs() < until && state != "complete" && state != "failed") {
+  while (NowMs() < accepted + kRenameWatchMs && state != "complete") {
     Sleep(1000);
-    state = aFleet.StateOf(0, path);
+    const auto status = aFleet.Send(1, "GET", path).mStatus;
+    isUnknown = isUnknown ||
+                (status == 410 && NowMs() > accepted + kVisibleMs + kContactMs);
+    state = status == 200 ? aFleet.StateOf(2, path) : std::string();
   }
   const auto starts = aFleet.Log().StartsOf(job);
-  const auto failures =
-    std::count_if(starts.begin(), starts.end(), [](const auto& aStart) {
-      return aStart.mEnd == "failed";
-    });
-  return Finish(aFleet,
-                state != "complete",
-                "the job is shown as \"" + state + "\" after " +
-                  std::to_string(starts.size()) + " runs, of which " +
-                  std::to_string(failures) + " ended failed");
+  return Finish(
+    aFleet,
+    isUnknown,
+    "the job is " + (state.empty() ? "unknown" : "shown as " + state) +
+      ", with " + std::to_string(starts.size()) + " starts of its 4 tasks");
 }
 
 /** A client that got no answer cancels its job; the entry that stood still
@@ -360,8 +364,8 @@
 int
 Play(const std::string& aCase, Fleet& aFleet)
 {
-  if (aCase == "crashes") {
-    return PlayCrashes(aFleet);
+  if (aCase == "renamed-route") {
+    return PlayRenamedRoute(aFleet);
   }
   if (aCase == "late-submission") {
     return PlayLateSubmission(aFleet);
--- a/review/standin-3/Fleet.cpp
+++ b/review/standin-3/Fleet.cpp
@@ -224,7 +224,7 @@
   for (const auto& minion : mMinions) {
     minion->Begin();
   }
-  if (!PutConfiguration(aRoutes)) {
+  if (!Configure(7, aRoutes)) {
     return false;
   }
   for (int i = 0; i < mOptions.mEntries; ++i) {
@@ -243,7 +243,7 @@
 }
 
 bool
-Fleet::PutConfiguration(const std::vector<Route>& aRoutes)
+Fleet::Configure(std::uint64_t aVersion, const std::vector<Route>& aRoutes)
 {
   using Json = nlohmann::json;
   Json routes = Json::array();
@@ -265,7 +265,7 @@
   request.mPath = "/-/config";
   request.mBody =
     Json(
-      { { "version", 7 },
+      { { "version", aVersion },
         { "routes", routes },
         { "services",
           { { { "name", kService },
@@ -286,10 +286,13 @@
               { "priority", 1 },
               { "guaranteed", { { "gpu", mOptions.mGuaranteedGpus } } } } } } })
       .dump();
-  for (int i = 0; mRecord.NowMs() < kStartLimitMs; ++i) {
+  const auto until = NowMs() + kStartLimitMs;
+  for (int i = 0; NowMs() < until; ++i) {
     const std::string ip = Ip("control", i % mOptions.mControls);
     if (Call(ip, Port(kControlPlanePort), request, 1000).mStatus == 200) {
-      mRecord.Add("operator", "configuration 7 is acknowledged");
+      mRecord.Add("operator",
+                  "configuration " + std::to_string(aVersion) +
+                    " is acknowledged, with " + routes.dump());
       return true;
     }
     Sleep(100);
--- a/review/standin-3/Fleet.h
+++ b/review/standin-3/Fleet.h
@@ -44,6 +44,9 @@
    * until the entries are ready. Returns false if that takes over 30 s. */
   bool Start(const std::vector<Route>& aRoutes);
 
+  /** Hands in a whole configuration until it is acknowledged, or returns false.
+   */
+  bool Configure(std::uint64_t aVersion, const std::vector<Route>& aRoutes);
   void Signal(const std::string& aName, int aSignal);
   /** Sends a client's request to an entry, and records it and the answer.
    * aEntry counts from 0. Thread safe. */
@@ -63,7 +66,6 @@
   std::string Ip(const std::string& aRole, int aIndex) const;
   void Spawn(const std::string& aRole, int aIndex);
   std::string Render(const std::string& aRole, int aIndex) const;
-  bool PutConfiguration(const std::vector<Route>& aRoutes);
   std::uint16_t Port(int aOffset) const;
 
   const FleetOptions mOptions;
