Keep the workloads of a queue that is renamed, moved or removed

Cause: a workload kept the name of its queue, and reads, cancellings, counts, repeated submissions, placement, priority, objective and occurrences looked that name up in the present catalog. Callers know a queue by host and prefix. By the same cause queues that exchange names showed each other's workloads, a submission from an entry with an earlier catalog could reach another queue, and the waiting work of a removed queue never ran but counted as priority 0. Ruled out: the entries, the deltas of catalogs, a change of the leader.

Change: QueueRegistry, in the replicated state, gives each queue a key and finds its successor in the next catalog: by host and prefix, else by name if the queue was moved. A removed queue keeps its last definition while it has workloads, so that these are finished.

Tests that apply an Accept without a catalog have one with a queue now, since work of a queue that does not exist is not accepted.

--- a/dogwooddrum/coordination/jobs/JobState.cpp
+++ b/dogwooddrum/coordination/jobs/JobState.cpp
@@ -11,9 +11,42 @@
 namespace {
 
 /** First bytes of a saved state; the digit is the format's version. */
-constexpr std::string_view kMagic = "DWDJOBS2";
-/** The preceding format, which ends before workloads::State::BoundTargets. */
-constexpr std::string_view kMagicWithoutBindings = "DWDJOBS1";
+constexpr std::string_view kMagic = "DWDJOBS3";
+
+/** An earlier format. The present one appends containers to it, whose sizes are
+ * 0 in a state of that format. */
+struct EarlierFormat
+{
+  std::string_view mMagic;
+  std::size_t mMissingContainers;
+};
+constexpr EarlierFormat kEarlierFormats[] = {
+  { "DWDJOBS2", 3 }, // ends before workloads::State::Queues
+  { "DWDJOBS2", 7 }, // ends before workloads::State::EvacuatedZones
+  { "DWDJOBS1", 8 }, // ends before workloads::State::BoundTargets
+};
+
+/** Decodes the body of a saved state that begins with aMagic. */
+base::Outcome<StateImage>
+DecodeImage(std::string_view aMagic, const std::string& aBody)
+{
+  if (aMagic == kMagic) {
+    return protocol::Decode<StateImage>(aBody);
+  }
+  for (const EarlierFormat& format : kEarlierFormats) {
+    if (format.mMagic != aMagic) {
+      continue;
+    }
+    const std::string sizes(format.mMissingContainers * sizeof(std::uint64_t),
+                            '\0');
+    if (auto image = protocol::Decode<StateImage>(aBody + sizes)) {
+      image->mWorkloads.RegisterQueues();
+      return image;
+    }
+  }
+  return base::Failure{ base::Reason::MalformedFrame,
+                        "unknown format " + std::string(aMagic) };
+}
 
 /** Returns the stored bytes of the job's answer or its attempt's parts. */
 std::uint64_t
@@ -50,20 +83,13 @@
     return false;
   }
   const auto magic = in.substr(0, kMagic.size());
-  if (magic != kMagic && magic != kMagicWithoutBindings) {
-    return false;
-  }
   in.remove_prefix(kMagic.size());
   std::memcpy(&checksum, in.data(), sizeof checksum);
   in.remove_prefix(sizeof checksum);
   if (base::Checksum(in) != checksum) {
     return false;
   }
-  std::string body(in);
-  if (magic == kMagicWithoutBindings) {
-    body.append(sizeof(std::uint64_t), '\0'); // the size of an empty map
-  }
-  auto image = protocol::Decode<StateImage>(body);
+  auto image = DecodeImage(magic, std::string(in));
   if (!image) {
     return false;
   }
--- a/dogwooddrum/coordination/workloads/LearnedRunTimes.cpp
+++ b/dogwooddrum/coordination/workloads/LearnedRunTimes.cpp
@@ -10,7 +10,7 @@
 RunTimeClass
 ClassOf(const WorkloadRecord& aWorkload, const WorkloadStep& aStep)
 {
-  return { aWorkload.mQueueName, aWorkload.mAccount, aStep.mCount };
+  return { aWorkload.mQueue, aWorkload.mAccount, aStep.mCount };
 }
 
 /** Returns whether the run was away from its data or from members of its gang,
@@ -123,7 +123,7 @@
   const WorkloadStep& step = StepOf(*workload, task);
   const auto runTime = aLeader.mNow - aOpen.mStartedAt;
   aLeader.mRunTimeEstimator.AddQueueSample(
-    workload->mQueueName, step.mEstimateMs, runTime);
+    workload->mQueue, step.mEstimateMs, runTime);
   // A gang takes as long as its slowest member, which ends last.
   const bool isLastMember =
     !step.mGang || GangOf(aLeader, aChange.mRun).size() == 1;
@@ -159,7 +159,7 @@
       known || !UsesDistributions(aLeader)) {
     return known ? *known
                  : aLeader.mRunTimeEstimator.ExpectedRunTime(
-                     aTask, aWorkload.mQueueName, step.mEstimateMs);
+                     aTask, aWorkload.mQueue, step.mEstimateMs);
   }
   return aLeader.mRunTimeModel
     .Expect(ClassOf(aWorkload, step), step.mEstimateMs)
--- a/dogwooddrum/coordination/workloads/Objectives.cpp
+++ b/dogwooddrum/coordination/workloads/Objectives.cpp
@@ -40,13 +40,13 @@
 const protocol::Queue*
 QueueOf(const LeaderContext& aLeader, const WorkloadRecord& aWorkload)
 {
-  return FindQueue(aLeader.mState->CurrentCatalog(), aWorkload.mQueueName);
+  return aLeader.mState->FindQueue(aWorkload.mQueue);
 }
 
 std::uint32_t
-PriorityOf(const LeaderContext& aLeader, const protocol::QueueName& aQueue)
+PriorityOf(const LeaderContext& aLeader, const QueueKey& aQueue)
 {
-  const auto* queue = FindQueue(aLeader.mState->CurrentCatalog(), aQueue);
+  const auto* queue = aLeader.mState->FindQueue(aQueue);
   return queue == nullptr ? 0 : queue->mPriority;
 }
 
@@ -77,8 +77,9 @@
   std::vector<std::pair<std::int64_t, WorkloadId>> urgent;
   for (const WorkloadId& id : aLeader.mState->Active()) {
     const auto* workload = aLeader.mState->Find(id);
-    if (workload != nullptr && !HasEnded(*workload) &&
-        PriorityOf(aLeader, workload->mQueueName) == 0) {
+    const auto* queue =
+      workload == nullptr ? nullptr : QueueOf(aLeader, *workload);
+    if (queue != nullptr && queue->mPriority == 0 && !HasEnded(*workload)) {
       urgent.emplace_back(workload->mAcceptedMs, id);
     }
   }
--- a/dogwooddrum/coordination/workloads/Objectives.h
+++ b/dogwooddrum/coordination/workloads/Objectives.h
@@ -9,13 +9,14 @@
 
 namespace dogwooddrum::coordination::workloads {
 
-/** Returns the queue of the workload, or null if it was removed. */
+/** Returns the queue of the workload, as it was last defined if it has been
+ * removed; null if it is unknown. */
 const protocol::Queue*
 QueueOf(const LeaderContext& aLeader, const WorkloadRecord& aWorkload);
 
-/** Returns the priority of the queue; 0 if it was removed. */
+/** Returns the priority of the queue; 0 if it is unknown. */
 std::uint32_t
-PriorityOf(const LeaderContext& aLeader, const protocol::QueueName& aQueue);
+PriorityOf(const LeaderContext& aLeader, const QueueKey& aQueue);
 
 /** Returns the time in ms, from acceptance or from when an occurrence is due,
  * within which the work should be complete. */
--- a/dogwooddrum/coordination/workloads/ObservationPublisher.cpp
+++ b/dogwooddrum/coordination/workloads/ObservationPublisher.cpp
@@ -64,11 +64,11 @@
 }
 
 /** Returns the counts by class. */
-std::map<std::tuple<protocol::QueueName, base::AccountId, std::uint32_t>,
+std::map<std::tuple<QueueKey, base::AccountId, std::uint32_t>,
          std::vector<std::uint32_t>>
 CountsByClass(const Observations& aObservations)
 {
-  std::map<std::tuple<protocol::QueueName, base::AccountId, std::uint32_t>,
+  std::map<std::tuple<QueueKey, base::AccountId, std::uint32_t>,
            std::vector<std::uint32_t>>
     counts;
   for (const ObservedRunTimes& each : aObservations.mRunTimes) {
--- a/dogwooddrum/coordination/workloads/Observations.h
+++ b/dogwooddrum/coordination/workloads/Observations.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "dogwooddrum/base/Ids.h"
+#include "dogwooddrum/coordination/workloads/QueueRegistry.h"
 #include "dogwooddrum/protocol/Workload.h"
 
 #include <cstdint>
@@ -32,7 +33,7 @@
  * The buckets are those of RunTimeModel. */
 struct ObservedRunTimes
 {
-  protocol::QueueName mQueue;
+  QueueKey mQueue;
   base::AccountId mAccount; ///< empty: all accounts
   std::uint32_t mWidthClass = 0;
   std::vector<std::uint32_t> mRatioCounts;   ///< of run time over estimate
--- a/dogwooddrum/coordination/workloads/Requests.cpp
+++ b/dogwooddrum/coordination/workloads/Requests.cpp
@@ -34,17 +34,35 @@
   Reply(aLeader, aPending, std::move(reply));
 }
 
+bool
+IsOfQueue(const LeaderContext& aLeader,
+          const WorkloadRecord& aWorkload,
+          const protocol::QueueReference& aQueue)
+{
+  return aLeader.mState->ResolveQueue(aQueue) == aWorkload.mQueue;
+}
+
+/** Returns the key of the catalog's queue to which aQueue refers. */
+std::optional<QueueKey>
+FindOpenQueue(const LeaderContext& aLeader,
+              const protocol::QueueReference& aQueue)
+{
+  const auto key = aLeader.mState->ResolveQueue(aQueue);
+  return key && aLeader.mState->Queues().IsInCatalog(*key) ? key : std::nullopt;
+}
+
 struct RequestVisitor
 {
   LeaderContext& mLeader;
   PendingRequest mPending;
 
   const WorkloadRecord* Find(const WorkloadId& aId,
-                             const protocol::QueueName& aQueue) const
+                             const protocol::QueueReference& aQueue) const
   {
     const WorkloadRecord* workload = mLeader.mState->Find(aId);
-    return workload != nullptr && workload->mQueueName == aQueue ? workload
-                                                                 : nullptr;
+    return workload != nullptr && IsOfQueue(mLeader, *workload, aQueue)
+             ? workload
+             : nullptr;
   }
 
   void Reject(const WorkloadId& aId,
@@ -60,7 +78,7 @@
   void operator()(const protocol::SubmitWorkload& aRequest) const
   {
     if (const auto* known = mLeader.mState->Find(aRequest.mId)) {
-      if (known->mQueueName == aRequest.mQueue) {
+      if (IsOfQueue(mLeader, *known, aRequest.mQueue)) {
         Reply(mLeader, mPending, WorkloadResult::Accepted, "known");
       } else {
         Reject(
@@ -78,11 +96,11 @@
       Reject(aRequest.mId, WorkloadResult::Invalid, problem);
       return;
     }
-    if (FindQueue(mLeader.mState->CurrentCatalog(), aRequest.mQueue) ==
-        nullptr) {
+    const auto queue = FindOpenQueue(mLeader, aRequest.mQueue);
+    if (!queue) {
       Reject(aRequest.mId,
              WorkloadResult::Unknown,
-             "no queue " + aRequest.mQueue.Value());
+             "no queue " + aRequest.mQueue.mName.Value());
       return;
     }
     if (mLeader.mState->Active().size() >= mLeader.mOptions.mMaxActive) {
@@ -93,7 +111,10 @@
       return;
     }
     mLeader.mPendingSubmits[aRequest.mId].push_back(mPending);
-    Propose(mLeader, Accept{ aRequest, UnixMs(mLeader) });
+    // The key identifies the queue also if another catalog is applied first.
+    Accept accept{ aRequest, UnixMs(mLeader) };
+    accept.mRequest.mQueue = { protocol::QueueName(queue->Value()), {} };
+    Propose(mLeader, std::move(accept));
   }
 
   void operator()(const protocol::ReadWorkload& aRequest) const
@@ -130,14 +151,13 @@
   void operator()(const protocol::CountWaitingWorkloads& aRequest) const
   {
     const auto& state = *mLeader.mState;
+    const auto queue = FindOpenQueue(mLeader, aRequest.mQueue);
     WorkloadReply reply;
-    reply.mResult =
-      FindQueue(state.CurrentCatalog(), aRequest.mQueue) == nullptr
-        ? WorkloadResult::Unknown
-        : WorkloadResult::Found;
+    reply.mResult = queue ? WorkloadResult::Found : WorkloadResult::Unknown;
     for (const WorkloadId& id : state.Active()) {
-      const auto* workload = Find(id, aRequest.mQueue);
-      if (workload != nullptr && !workload->mStarted && !HasEnded(*workload)) {
+      const auto* workload = state.Find(id);
+      if (workload != nullptr && workload->mQueue == queue &&
+          !workload->mStarted && !HasEnded(*workload)) {
         ++reply.mWaitingCount;
       }
     }
@@ -212,16 +232,17 @@
 
   bool operator()(const protocol::SubmitWorkload& aRequest) const
   {
-    return mLeader.mState->Find(aRequest.mId) == nullptr &&
-           FindQueue(mLeader.mState->CurrentCatalog(), aRequest.mQueue) ==
-             nullptr;
+    const auto* workload = mLeader.mState->Find(aRequest.mId);
+    return workload == nullptr
+             ? !FindOpenQueue(mLeader, aRequest.mQueue)
+             : !IsOfQueue(mLeader, *workload, aRequest.mQueue);
   }
   bool operator()(const protocol::CancelWorkload& aRequest) const
   {
     const auto* workload = mLeader.mState->Find(aRequest.mId);
     return workload == nullptr
              ? mLeader.mPendingSubmits.count(aRequest.mId) == 0
-             : workload->mQueueName != aRequest.mQueue;
+             : !IsOfQueue(mLeader, *workload, aRequest.mQueue);
   }
   bool operator()(const protocol::ReplaceCatalog&) const { return false; }
   bool operator()(const protocol::SetZoneEvacuation&) const { return false; }
@@ -258,20 +279,23 @@
   void operator()(const Accept& aChange) const
   {
     const auto& request = aChange.mRequest;
+    const auto* workload = mLeader.mState->Find(request.mId);
     const auto* queue =
-      FindQueue(mLeader.mState->CurrentCatalog(), request.mQueue);
-    const std::int64_t allowedMs =
-      queue == nullptr ? 0 : AllowedTimeMs(request.mSpec, *queue);
-    AddEvent(
-      mLeader,
-      WorkloadEvent::Kind::Accepted,
-      { { "workload", request.mId.Value() },
-        { "queue", request.mQueue.Value() },
-        { "account", request.mAccount.Value() },
-        { "steps", std::to_string(request.mSpec.mSteps.size()) },
-        { "tasks", std::to_string(request.mSpec.mSteps[0].mCount) },
-        { "priority", std::to_string(PriorityOf(mLeader, request.mQueue)) },
-        { "allowed_ms", std::to_string(allowedMs) } });
+      workload == nullptr ? nullptr : QueueOf(mLeader, *workload);
+    if (queue == nullptr) {
+      AnswerAll(mLeader, mLeader.mPendingSubmits, request.mId);
+      return;
+    }
+    AddEvent(mLeader,
+             WorkloadEvent::Kind::Accepted,
+             { { "workload", request.mId.Value() },
+               { "queue", queue->mName.Value() },
+               { "account", request.mAccount.Value() },
+               { "steps", std::to_string(request.mSpec.mSteps.size()) },
+               { "tasks", std::to_string(request.mSpec.mSteps[0].mCount) },
+               { "priority", std::to_string(queue->mPriority) },
+               { "allowed_ms",
+                 std::to_string(AllowedTimeMs(request.mSpec, *queue)) } });
     AnswerAll(mLeader, mLeader.mPendingSubmits, request.mId);
   }
   void operator()(const Cancel& aChange) const
--- a/dogwooddrum/coordination/workloads/RunTimeEstimator.cpp
+++ b/dogwooddrum/coordination/workloads/RunTimeEstimator.cpp
@@ -96,7 +96,7 @@
 }
 
 void
-RunTimeEstimator::AddQueueSample(const protocol::QueueName& aQueue,
+RunTimeEstimator::AddQueueSample(const QueueKey& aQueue,
                                  std::uint64_t aEstimateMs,
                                  base::Duration aWhole)
 {
@@ -113,7 +113,7 @@
 
 base::Duration
 RunTimeEstimator::ExpectedRunTime(const protocol::TaskId& aTask,
-                                  const protocol::QueueName& aQueue,
+                                  const QueueKey& aQueue,
                                   std::uint64_t aEstimateMs) const
 {
   if (const auto step = StepRunTime(aTask)) {
--- a/dogwooddrum/coordination/workloads/RunTimeEstimator.h
+++ b/dogwooddrum/coordination/workloads/RunTimeEstimator.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "dogwooddrum/base/Time.h"
+#include "dogwooddrum/coordination/workloads/QueueRegistry.h"
 #include "dogwooddrum/protocol/Workload.h"
 
 #include <cstdint>
@@ -55,12 +56,12 @@
   void AddStepSample(const protocol::TaskId& aTask, base::Duration aWhole);
   /** Adds the run time of a task of the queue that ended as done. aEstimateMs:
    * the caller's estimate; 0: none. */
-  void AddQueueSample(const protocol::QueueName& aQueue,
+  void AddQueueSample(const QueueKey& aQueue,
                       std::uint64_t aEstimateMs,
                       base::Duration aWhole);
   /** Returns the expected run time of a whole task. */
   base::Duration ExpectedRunTime(const protocol::TaskId& aTask,
-                                 const protocol::QueueName& aQueue,
+                                 const QueueKey& aQueue,
                                  std::uint64_t aEstimateMs) const;
   /** Returns the run time of the step's other tasks; none if not known. */
   std::optional<base::Duration> StepRunTime(
@@ -73,7 +74,7 @@
 
   std::map<Step, base::Duration> mSteps;
   /** Moving average of the logarithm of run time over estimate. */
-  std::map<protocol::QueueName, double> mRatios;
+  std::map<QueueKey, double> mRatios;
 };
 
 } // namespace dogwooddrum::coordination::workloads
--- a/dogwooddrum/coordination/workloads/RunTimeModel.h
+++ b/dogwooddrum/coordination/workloads/RunTimeModel.h
@@ -6,6 +6,7 @@
 
 #include "dogwooddrum/base/Time.h"
 #include "dogwooddrum/coordination/workloads/Observations.h"
+#include "dogwooddrum/coordination/workloads/QueueRegistry.h"
 
 #include <array>
 #include <cstddef>
@@ -19,7 +20,7 @@
 /** Tasks whose run times are expected to be alike. */
 struct RunTimeClass
 {
-  protocol::QueueName mQueue;
+  QueueKey mQueue;
   base::AccountId mAccount;
   std::uint32_t mWidth = 1; ///< number of tasks of the step
 };
@@ -119,7 +120,7 @@
     LogHistogram mRunTimes;
     std::uint64_t mLastSample = 0; ///< number of its last sample
   };
-  using Key = std::tuple<protocol::QueueName, base::AccountId, std::uint32_t>;
+  using Key = std::tuple<QueueKey, base::AccountId, std::uint32_t>;
 
   static std::array<Key, 3> KeysOf(const RunTimeClass& aClass);
   Class& Touch(const Key& aKey);
--- a/dogwooddrum/coordination/workloads/Runs.cpp
+++ b/dogwooddrum/coordination/workloads/Runs.cpp
@@ -78,7 +78,7 @@
     const auto* workload = aLeader.mState->Find(aRun.mTask.mWorkload);
     open.mTarget = aTask.mTarget;
     open.mResources = ResourcesOf(StepOf(*workload, aRun.mTask));
-    open.mPriority = PriorityOf(aLeader, workload->mQueueName);
+    open.mPriority = PriorityOf(aLeader, workload->mQueue);
     open.mStartedAt = aLeader.mNow;
     open.mCheckpoint = aTask.mCheckpoint;
     open.mResumedFrom = aTask.mCheckpoint;
--- a/dogwooddrum/coordination/workloads/State.cpp
+++ b/dogwooddrum/coordination/workloads/State.cpp
@@ -198,22 +198,34 @@
     }
   }
 
+  /** Returns the queue of the catalog that an Accept names by its key or, in an
+   * entry of a version without keys, by its name. */
+  std::optional<QueueKey> AcceptingQueue(
+    const protocol::QueueReference& aReference) const
+  {
+    const QueueKey key(aReference.mName.Value());
+    return mState.mQueues.IsInCatalog(key) ? key
+                                           : mState.ResolveQueue(aReference);
+  }
+
   void operator()(const Accept& aChange)
   {
     const auto& request = aChange.mRequest;
+    const auto key = AcceptingQueue(request.mQueue);
+    if (!key) {
+      return;
+    }
     const auto [it, isNew] =
       mState.mWorkloads.try_emplace(request.mId, WorkloadRecord{});
     if (!isNew) {
       return;
     }
     WorkloadRecord& workload = it->second;
-    workload.mQueueName = request.mQueue;
+    workload.mQueue = *key;
     workload.mAccount = request.mAccount;
     workload.mSpec = request.mSpec;
     workload.mAcceptedMs = aChange.mAcceptedMs;
-    if (const auto* queue = FindQueue(mState.mCatalog, request.mQueue)) {
-      workload.mMaxAttempts = std::max(1U, queue->mMaxAttempts);
-    }
+    workload.mMaxAttempts = std::max(1U, mState.FindQueue(*key)->mMaxAttempts);
     if (workload.mSpec.mRepeatCount == 0) {
       workload.mOccurrences.push_back(MakeOccurrence(workload.mSpec, 0));
       workload.mNextOccurrence = 1;
@@ -333,9 +345,15 @@
 
   void operator()(const AdoptCatalog& aChange)
   {
-    if (aChange.mCatalog.mVersion > mState.mCatalog.mVersion) {
-      mState.mCatalog = aChange.mCatalog;
+    if (aChange.mCatalog.mVersion <= mState.mCatalog.mVersion) {
+      return;
+    }
+    std::set<QueueKey> used;
+    for (const auto& [id, workload] : mState.mWorkloads) {
+      used.insert(workload.mQueue);
     }
+    mState.mQueues.Adopt(mState.mCatalog, aChange.mCatalog, used);
+    mState.mCatalog = aChange.mCatalog;
   }
 
   void operator()(const BindTarget& aChange)
--- a/dogwooddrum/coordination/workloads/State.h
+++ b/dogwooddrum/coordination/workloads/State.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "dogwooddrum/coordination/workloads/Observations.h"
+#include "dogwooddrum/coordination/workloads/QueueRegistry.h"
 #include "dogwooddrum/protocol/WorkloadMessages.h"
 
 #include <map>
@@ -28,9 +29,11 @@
 
 // Changes.
 
-/** Adds a workload; no effect if its id exists already. */
+/** Adds a workload; no effect if its id exists already, or if its queue has
+ * been removed since it was proposed. */
 struct Accept
 {
+  /** Its queue is named by key. Versions without keys name it by its name. */
   protocol::SubmitWorkload mRequest;
   std::int64_t mAcceptedMs = 0; ///< Unix time
   template<class Archive>
@@ -254,7 +257,7 @@
 
 struct WorkloadRecord
 {
-  protocol::QueueName mQueueName;
+  QueueKey mQueue;
   base::AccountId mAccount;
   protocol::WorkloadSpec mSpec; ///< the payload is dropped at the end
   std::int64_t mAcceptedMs = 0; ///< Unix time
@@ -268,7 +271,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mQueueName,
+    aArchive(mQueue,
              mAccount,
              mSpec,
              mAcceptedMs,
@@ -306,6 +309,22 @@
   /** Returns the workloads that have not ended or still have an open run. */
   const std::set<WorkloadId>& Active() const { return mActive; }
   const Catalog& CurrentCatalog() const { return mCatalog; }
+  /** Returns the queue's definition in the catalog, else the last one that it
+   * had; null if it is unknown. Valid until the next Apply. */
+  const protocol::Queue* FindQueue(const QueueKey& aQueue) const
+  {
+    return mQueues.Find(mCatalog, aQueue);
+  }
+  /** Returns the queue of a request, which may have been removed. */
+  std::optional<QueueKey> ResolveQueue(
+    const protocol::QueueReference& aReference) const
+  {
+    return mQueues.Resolve(mCatalog, aReference);
+  }
+  const QueueRegistry& Queues() const { return mQueues; }
+  /** Registers the queues of the catalog, after a snapshot without a registry
+   * was read. Precondition: the registry is empty. */
+  void RegisterQueues() { mQueues.Adopt(Catalog(), mCatalog, {}); }
   /** Returns the newest bound target of each agent, by the agent's name. An
    * agent runs on one VM, so that its next target proves that the runs of this
    * one are over. */
@@ -329,7 +348,8 @@
              mCatalog,
              mBoundTargets,
              mEvacuatedZones,
-             mObservations);
+             mObservations,
+             mQueues);
   }
 
 private:
@@ -341,6 +361,7 @@
   std::map<std::string, TargetIncarnation> mBoundTargets;
   std::set<base::ZoneId> mEvacuatedZones;
   Observations mObservations;
+  QueueRegistry mQueues;
 };
 
 /** Returns the spec's step of a task. Precondition: it exists. */
--- a/dogwooddrum/coordination/workloads/WorkerViews.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -27,8 +27,8 @@
          CoreEquivalents(aRun.mResources);
 }
 
-/** Returns the highest (least urgent) priority number of all queues and open
- * runs. */
+/** Returns the highest (least urgent) priority number of all queues, also of
+ * removed ones, and open runs. */
 std::uint32_t
 LeastUrgentPriority(const LeaderContext& aLeader)
 {
@@ -36,6 +36,9 @@
   for (const auto& queue : aLeader.mState->CurrentCatalog().mQueues) {
     least = std::max(least, queue.mPriority);
   }
+  for (const auto& [key, queue] : aLeader.mState->Queues().Retired()) {
+    least = std::max(least, queue.mPriority);
+  }
   for (const auto& [run, open] : aLeader.mRuns) {
     least = std::max(least, open.mPriority);
   }
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.cpp
@@ -111,6 +111,22 @@
   }
 }
 
+/** Returns the number of queues that the catalog does not have and that have
+ * unfinished workloads. */
+std::size_t
+CountRemovedQueues(const LeaderContext& aLeader)
+{
+  std::set<QueueKey> removed;
+  for (const WorkloadId& id : aLeader.mState->Active()) {
+    const WorkloadRecord* workload = aLeader.mState->Find(id);
+    if (workload != nullptr &&
+        !aLeader.mState->Queues().IsInCatalog(workload->mQueue)) {
+      removed.insert(workload->mQueue);
+    }
+  }
+  return removed.size();
+}
+
 /** Updates the leader's state after a committed change. */
 struct AppliedVisitor
 {
@@ -210,7 +226,8 @@
     AddEvent(
       mLeader,
       WorkloadEvent::Kind::CatalogAdopted,
-      { { "version", std::to_string(aChange.mCatalog.mVersion.Value()) } });
+      { { "version", std::to_string(aChange.mCatalog.mVersion.Value()) },
+        { "removed_queues", std::to_string(CountRemovedQueues(mLeader)) } });
     mLeader.mDecisionDue = true;
   }
 };
--- a/dogwooddrum/daemon/WorkloadEntryHost.cpp
+++ b/dogwooddrum/daemon/WorkloadEntryHost.cpp
@@ -294,9 +294,10 @@
                        PendingCall& aCall) const
   {
     const protocol::WorkloadId id(aCall.mWorkload);
+    const auto queue = protocol::ReferenceTo(aQueue);
     if (aCall.mKind == CallKind::Read && aCall.mWorkload.empty()) {
       aCall.mIsCount = true;
-      aCall.mRequest.mBody = protocol::CountWaitingWorkloads{ aQueue.mName };
+      aCall.mRequest.mBody = protocol::CountWaitingWorkloads{ queue };
       return true;
     }
     if (!mProtocol.IsWorkloadId(aCall.mWorkload)) {
@@ -310,7 +311,7 @@
         }
         protocol::SubmitWorkload submit;
         submit.mId = id;
-        submit.mQueue = aQueue.mName;
+        submit.mQueue = queue;
         if (aAccount != nullptr) {
           submit.mAccount = aAccount->mName;
         }
@@ -319,10 +320,10 @@
         return true;
       }
       case CallKind::Read:
-        aCall.mRequest.mBody = protocol::ReadWorkload{ id, aQueue.mName };
+        aCall.mRequest.mBody = protocol::ReadWorkload{ id, queue };
         return true;
       case CallKind::Cancel:
-        aCall.mRequest.mBody = protocol::CancelWorkload{ id, aQueue.mName };
+        aCall.mRequest.mBody = protocol::CancelWorkload{ id, queue };
         return true;
       case CallKind::Other:
         break;
--- a/dogwooddrum/protocol/Workload.cpp
+++ b/dogwooddrum/protocol/Workload.cpp
@@ -10,6 +10,8 @@
 
 /** Maximum number of tasks of one workload; bounds the size of a log entry. */
 constexpr std::uint64_t kMaxTasks = 5000;
+/** Occurs in no host and path of a request. */
+constexpr char kReferenceSeparator = '\n';
 
 bool
 StartsWith(const std::string& aText, const std::string& aPrefix)
@@ -43,6 +45,30 @@
 
 } // namespace
 
+std::string
+QueueReference::Format() const
+{
+  return mAddress ? mName.Value() + kReferenceSeparator + mAddress->mHost +
+                      kReferenceSeparator + mAddress->mPathPrefix
+                  : mName.Value();
+}
+
+QueueReference
+QueueReference::Parse(const std::string& aText)
+{
+  const auto prefix = aText.rfind(kReferenceSeparator);
+  if (prefix == std::string::npos || prefix == 0) {
+    return { QueueName(aText), std::nullopt };
+  }
+  const auto host = aText.rfind(kReferenceSeparator, prefix - 1);
+  if (host == std::string::npos) {
+    return { QueueName(aText), std::nullopt };
+  }
+  return { QueueName(aText.substr(0, host)),
+           QueueAddress{ aText.substr(host + 1, prefix - host - 1),
+                         aText.substr(prefix + 1) } };
+}
+
 CatalogDelta
 MakeCatalogDelta(const Catalog& aOld, const Catalog& aNew)
 {
--- a/dogwooddrum/protocol/Workload.h
+++ b/dogwooddrum/protocol/Workload.h
@@ -242,6 +242,68 @@
   }
 };
 
+/** Host and path prefix of a queue, unique within a catalog. They identify the
+ * queue to callers, who do not see its name. */
+struct QueueAddress
+{
+  std::string mHost;
+  std::string mPathPrefix;
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mHost, mPathPrefix);
+  }
+  friend bool operator==(const QueueAddress& aLeft, const QueueAddress& aRight)
+  {
+    return aLeft.mHost == aRight.mHost &&
+           aLeft.mPathPrefix == aRight.mPathPrefix;
+  }
+  friend bool operator<(const QueueAddress& aLeft, const QueueAddress& aRight)
+  {
+    return std::tie(aLeft.mHost, aLeft.mPathPrefix) <
+           std::tie(aRight.mHost, aRight.mPathPrefix);
+  }
+};
+
+inline QueueAddress
+AddressOf(const Queue& aQueue)
+{
+  return { aQueue.mHost, aQueue.mPathPrefix };
+}
+
+/**
+ * Refers to a queue in a request, which may arrive when the leader's catalog is
+ * another than the sender's. Encoded as one string, of lines for the name, host
+ * and path prefix; the name alone, which earlier versions send, has no address.
+ */
+struct QueueReference
+{
+  QueueName mName; ///< in the sender's catalog
+  std::optional<QueueAddress> mAddress;
+
+  template<class Archive>
+  std::string save_minimal(const Archive& /*aArchive*/) const
+  {
+    return Format();
+  }
+  template<class Archive>
+  void load_minimal(const Archive& /*aArchive*/, const std::string& aText)
+  {
+    *this = Parse(aText);
+  }
+
+private:
+  std::string Format() const;
+  static QueueReference Parse(const std::string& aText);
+};
+
+/** Returns a reference with the queue's name and address. Thread safe. */
+inline QueueReference
+ReferenceTo(const Queue& aQueue)
+{
+  return { aQueue.mName, AddressOf(aQueue) };
+}
+
 /** Targets that run the same kind of work. */
 struct Pool
 {
--- a/dogwooddrum/protocol/WorkloadMessages.h
+++ b/dogwooddrum/protocol/WorkloadMessages.h
@@ -18,7 +18,7 @@
 struct SubmitWorkload
 {
   WorkloadId mId;
-  QueueName mQueue;
+  QueueReference mQueue;
   base::AccountId mAccount; ///< empty on a public queue
   WorkloadSpec mSpec;
   template<class Archive>
@@ -31,7 +31,7 @@
 struct ReadWorkload
 {
   WorkloadId mId;
-  QueueName mQueue;
+  QueueReference mQueue;
   template<class Archive>
   void serialize(Archive& aArchive)
   {
@@ -42,7 +42,7 @@
 struct CancelWorkload
 {
   WorkloadId mId;
-  QueueName mQueue;
+  QueueReference mQueue;
   template<class Archive>
   void serialize(Archive& aArchive)
   {
@@ -54,7 +54,7 @@
  * started. */
 struct CountWaitingWorkloads
 {
-  QueueName mQueue;
+  QueueReference mQueue;
   template<class Archive>
   void serialize(Archive& aArchive)
   {
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -486,9 +486,12 @@
     { LogEvent::CatalogAdopted,
       LogLevel::Info,
       "catalog_adopted",
-      "catalog version {version} is in force",
-      "The operator's document was stored on a quorum.",
-      "Nothing." },
+      "catalog version {version} is in force; {removed_queues} queues that it "
+      "does not have still have work",
+      "The operator's document was stored on a quorum. The accepted work of a "
+      "removed queue goes on as that was last defined.",
+      "Nothing. To let callers read or cancel such work, define a queue with "
+      "the same host and path prefix again." },
     { LogEvent::CallAnswered,
       LogLevel::Info,
       "call_answered",
--- a/tests/correctness/LearnedRunTimes.cpp
+++ b/tests/correctness/LearnedRunTimes.cpp
@@ -25,7 +25,7 @@
 {
   RunTimeModel model;
   for (int i = 0; i < 100; ++i) {
-    model.Add({ protocol::QueueName("q"), base::AccountId("a"), 1 },
+    model.Add({ QueueKey("q"), base::AccountId("a"), 1 },
               kEstimateMs,
               base::Milliseconds(i % 10 == 9 ? 28000 : 4000),
               1,
@@ -42,7 +42,7 @@
 OneTask()
 {
   WorkloadRecord record;
-  record.mQueueName = protocol::QueueName("q");
+  record.mQueue = QueueKey("q");
   record.mAccount = base::AccountId("a");
   record.mSpec = OneStepSpec(1, 1000, 1, false);
   record.mSpec.mSteps[0].mEstimateMs = kEstimateMs;
@@ -86,9 +86,13 @@
   explicit LeaderWithRuns(const protocol::WorkloadSpec& aSpec)
     : mLeader({}, mState)
   {
+    Catalog catalog;
+    catalog.mVersion = protocol::CatalogVersion(1);
+    catalog.mQueues.emplace_back().mName = protocol::QueueName("q");
+    mState.Apply(Change{ AdoptCatalog{ catalog } });
     Accept accept;
     accept.mRequest.mId = IdOf("w");
-    accept.mRequest.mQueue = protocol::QueueName("q");
+    accept.mRequest.mQueue.mName = protocol::QueueName("q");
     accept.mRequest.mAccount = base::AccountId("a");
     accept.mRequest.mSpec = aSpec;
     mState.Apply(Change{ accept });
@@ -115,7 +119,7 @@
   double Samples() const
   {
     return mLeader.mRunTimeModel
-      .Expect({ protocol::QueueName("q"), base::AccountId("a"), 1 }, 0)
+      .Expect({ QueueKey("q"), base::AccountId("a"), 1 }, 0)
       .mSamples;
   }
 
@@ -133,7 +137,7 @@
   gang.End(1, 10000);
   EXPECT_NEAR(gang.Samples(), 1, 0.01);
   const auto times = gang.mLeader.mRunTimeModel.Expect(
-    { protocol::QueueName("q"), base::AccountId("a"), 3 }, 0);
+    { QueueKey("q"), base::AccountId("a"), 3 }, 0);
   EXPECT_GT(times.mMedian, base::Milliseconds(7000));
 }
 
--- a/tests/correctness/RunEndProof.cpp
+++ b/tests/correctness/RunEndProof.cpp
@@ -29,6 +29,7 @@
   Leader()
     : mScheduler({}, mState)
   {
+    mState.Apply(Change{ AdoptCatalog{ CatalogWithOneQueue() } });
     Accept accept;
     accept.mRequest.mId = WorkloadId("a");
     accept.mRequest.mSpec.mSteps.resize(1);
--- a/tests/correctness/RunTimeModel.cpp
+++ b/tests/correctness/RunTimeModel.cpp
@@ -17,7 +17,9 @@
 RunTimeClass
 ClassOf(const std::string& aAccount, std::uint32_t aWidth = 1)
 {
-  return { protocol::QueueName("q"), base::AccountId(aAccount), aWidth };
+  return { coordination::workloads::QueueKey("q"),
+           base::AccountId(aAccount),
+           aWidth };
 }
 
 double
--- a/tests/error/DelayedAnnouncements.cpp
+++ b/tests/error/DelayedAnnouncements.cpp
@@ -21,6 +21,7 @@
 TEST(DelayedAnnouncements, AnnouncementFromBeforeAClockStepEndsNoRun)
 {
   State state;
+  state.Apply(Change{ AdoptCatalog{ CatalogWithOneQueue() } });
   Accept accept;
   accept.mRequest.mId = protocol::WorkloadId("a");
   accept.mRequest.mSpec.mSteps.resize(1);
--- a/tests/error/DelayedStarts.cpp
+++ b/tests/error/DelayedStarts.cpp
@@ -42,7 +42,7 @@
 {
   Accept accept;
   accept.mRequest.mId = protocol::WorkloadId(aId);
-  accept.mRequest.mQueue = protocol::QueueName("queue");
+  accept.mRequest.mQueue.mName = protocol::QueueName("queue");
   protocol::WorkloadStep step;
   step.mCount = 1;
   step.mTaskResources = { aMilliCores, 100, 0 };
--- a/tests/error/ExpiredLeases.cpp
+++ b/tests/error/ExpiredLeases.cpp
@@ -41,7 +41,7 @@
   state.Apply(Change{ AdoptCatalog{ catalog } });
   Accept accept;
   accept.mRequest.mId = protocol::WorkloadId("a");
-  accept.mRequest.mQueue = protocol::QueueName("queue");
+  accept.mRequest.mQueue.mName = protocol::QueueName("queue");
   protocol::WorkloadStep step;
   step.mTaskResources = { 1000, 100, 1 };
   accept.mRequest.mSpec.mSteps.push_back(step);
--- a/tests/error/ListedEnds.cpp
+++ b/tests/error/ListedEnds.cpp
@@ -71,6 +71,7 @@
 TEST(ListedEnds, EndIsNotAcknowledgedBeforeAnyEndOfTheRunIsCommitted)
 {
   State state;
+  state.Apply(Change{ AdoptCatalog{ CatalogWithOneQueue() } });
   Accept accept;
   accept.mRequest.mId = protocol::WorkloadId("a");
   accept.mRequest.mSpec.mSteps.resize(1);
--- a/tests/error/LostTargets.cpp
+++ b/tests/error/LostTargets.cpp
@@ -24,6 +24,7 @@
 StateWithRun()
 {
   State state;
+  state.Apply(Change{ AdoptCatalog{ CatalogWithOneQueue() } });
   Accept accept;
   accept.mRequest.mId = protocol::WorkloadId("a");
   protocol::WorkloadStep step;
@@ -164,20 +165,26 @@
   EXPECT_EQ(restored.Workloads().BoundTargets().at(kAgent), kLost);
 }
 
-// A member that is updated starts from the snapshot of the earlier version.
-TEST(LostTargets, ASnapshotWithoutBindingsIsRead)
+// A member that is updated starts from the snapshot of an earlier version,
+// which ends before the containers that were added since: the bindings, the
+// evacuated zones, three of observations and three of the registry of queues.
+TEST(LostTargets, SnapshotsOfEarlierVersionsAreRead)
 {
-  coordination::jobs::JobState state;
-  std::string bytes = state.Save();
-  constexpr std::size_t kHeaderBytes = 16; // format name and checksum
-  std::string body = bytes.substr(kHeaderBytes);
-  body.resize(body.size() - sizeof(std::uint64_t)); // the size of the bindings
-  const std::uint64_t checksum = base::Checksum(body);
-  std::string earlier = "DWDJOBS1";
-  earlier.append(reinterpret_cast<const char*>(&checksum), sizeof checksum);
-  earlier += body;
-  EXPECT_TRUE(state.Restore(earlier));
-  EXPECT_EQ(state.Save(), bytes);
+  for (const auto& [format, containers] : { std::make_pair("DWDJOBS1", 8U),
+                                            std::make_pair("DWDJOBS2", 7U),
+                                            std::make_pair("DWDJOBS2", 3U) }) {
+    coordination::jobs::JobState state;
+    const std::string bytes = state.Save();
+    constexpr std::size_t kHeaderBytes = 16; // format name and checksum
+    std::string body = bytes.substr(kHeaderBytes);
+    body.resize(body.size() - containers * sizeof(std::uint64_t));
+    const std::uint64_t checksum = base::Checksum(body);
+    std::string earlier = format;
+    earlier.append(reinterpret_cast<const char*>(&checksum), sizeof checksum);
+    earlier += body;
+    EXPECT_TRUE(state.Restore(earlier)) << format << " without " << containers;
+    EXPECT_EQ(state.Save(), bytes);
+  }
 }
 
 } // namespace
--- a/tests/error/StaleLeader.cpp
+++ b/tests/error/StaleLeader.cpp
@@ -118,8 +118,9 @@
 {
   JobSimulation simulation;
   simulation.Boot();
-  const auto request = MakeWorkloadRequest(protocol::CancelWorkload{
-    protocol::WorkloadId("5c0e7a21d94b36f8"), protocol::QueueName("q") });
+  const auto request = MakeWorkloadRequest(
+    protocol::CancelWorkload{ protocol::WorkloadId("5c0e7a21d94b36f8"),
+                              { protocol::QueueName("q"), {} } });
   const auto failed = ExpectConfirmedRead(simulation, request);
   simulation.Leader().OnReadFailed(failed, simulation.Now());
   auto out = simulation.Leader().TakeOutput();
@@ -142,7 +143,7 @@
   simulation.Boot();
   protocol::SubmitWorkload submit;
   submit.mId = protocol::WorkloadId("5c0e7a21d94b36f8");
-  submit.mQueue = protocol::QueueName("q");
+  submit.mQueue.mName = protocol::QueueName("q");
   submit.mSpec.mSteps.emplace_back();
   const auto read =
     ExpectConfirmedRead(simulation, MakeWorkloadRequest(submit));
--- a/tests/error/UnprovenTargets.cpp
+++ b/tests/error/UnprovenTargets.cpp
@@ -27,6 +27,7 @@
     : mScheduler({}, mState)
     , mAgent(MakeOptions())
   {
+    mState.Apply(Change{ AdoptCatalog{ CatalogWithOneQueue() } });
     Accept accept;
     accept.mRequest.mId = protocol::WorkloadId("a");
     accept.mRequest.mSpec.mSteps.resize(1);
--- a/tests/error/WorkerAgentReports.cpp
+++ b/tests/error/WorkerAgentReports.cpp
@@ -89,6 +89,7 @@
 TEST(WorkerAgentReports, SchedulerTakesAnEndOfATargetThatLeft)
 {
   State state;
+  state.Apply(Change{ AdoptCatalog{ CatalogWithOneQueue() } });
   Accept accept;
   accept.mRequest.mId = protocol::WorkloadId("a");
   accept.mRequest.mSpec.mSteps.resize(1);
--- a/tests/error/ZoneEvacuationFaults.cpp
+++ b/tests/error/ZoneEvacuationFaults.cpp
@@ -98,7 +98,7 @@
   state.Apply(Change{ AdoptCatalog{ catalog } });
   Accept accept;
   accept.mRequest.mId = protocol::WorkloadId("a");
-  accept.mRequest.mQueue = queue.mName;
+  accept.mRequest.mQueue.mName = queue.mName;
   accept.mRequest.mSpec = OneStepSpec(1, 1000, 0, false);
   state.Apply(Change{ accept });
   state.Apply(Change{ StartRuns{ { { FirstRunOfA(), kTarget } } } });
--- a/tests/support/TargetMessages.h
+++ b/tests/support/TargetMessages.h
@@ -28,6 +28,17 @@
   return info;
 }
 
+/** Returns a catalog with one queue, which a default reference names. Its pool
+ * has no target. */
+inline protocol::Catalog
+CatalogWithOneQueue()
+{
+  protocol::Catalog catalog;
+  catalog.mVersion = protocol::CatalogVersion(1);
+  catalog.mQueues.emplace_back();
+  return catalog;
+}
+
 /** Returns the first run of the only task of the workload "a". */
 inline protocol::RunId
 FirstRunOfA()
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -88,7 +88,7 @@
   protocol::WorkloadRequest request;
   protocol::SubmitWorkload submit;
   submit.mId = WorkloadId(aId);
-  submit.mQueue = protocol::QueueName(aQueue);
+  submit.mQueue.mName = protocol::QueueName(aQueue);
   submit.mAccount = base::AccountId(aAccount);
   submit.mSpec = std::move(aSpec);
   request.mBody = std::move(submit);
@@ -101,8 +101,9 @@
 {
   protocol::WorkloadRequest request;
   const auto* workload = mState->Find(WorkloadId(aId));
-  request.mBody =
-    protocol::CancelWorkload{ WorkloadId(aId), workload->mQueueName };
+  request.mBody = protocol::CancelWorkload{
+    WorkloadId(aId), protocol::ReferenceTo(*mState->FindQueue(workload->mQueue))
+  };
   mScheduler->OnRequest(Session(1), request, mNow);
   Commit();
 }
@@ -395,13 +396,31 @@
 
 std::uint64_t
 WorkloadSimulation::WaitingCount(const std::string& aQueue)
+{
+  return Request(protocol::CountWaitingWorkloads{
+                   { protocol::QueueName(aQueue), {} } })
+    .mWaitingCount;
+}
+
+void
+WorkloadSimulation::EditCatalog(
+  const std::function<void(protocol::Catalog&)>& aEdit)
+{
+  Catalog next = mState->CurrentCatalog();
+  next.mVersion = protocol::CatalogVersion(next.mVersion.Value() + 1);
+  aEdit(next);
+  Request(protocol::ReplaceCatalog{ next });
+}
+
+protocol::WorkloadReply
+WorkloadSimulation::Request(protocol::WorkloadRequestBody aBody)
 {
   protocol::WorkloadRequest request;
-  request.mBody =
-    protocol::CountWaitingWorkloads{ protocol::QueueName(aQueue) };
+  request.mBody = std::move(aBody);
+  mReply = {};
   mScheduler->OnRequest(Session(1), request, mNow);
   Commit();
-  return mWaitingCount;
+  return mReply;
 }
 
 std::set<base::ZoneId>
@@ -518,7 +537,7 @@
 {
   if (const auto* reply =
         std::get_if<protocol::WorkloadReply>(&aMessage.mBody)) {
-    mWaitingCount = reply->mWaitingCount;
+    mReply = *reply;
   }
   const auto* orders = std::get_if<protocol::WorkerOrders>(&aMessage.mBody);
   if (orders == nullptr || HappensWith(mOptions.mFaults.mLostMessages) ||
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -140,6 +140,11 @@
   void DelayOrders(std::size_t aWorker, std::int64_t aForMs);
   /** Returns the number of waiting workloads of a queue. */
   std::uint64_t WaitingCount(const std::string& aQueue);
+  /** Makes the leader adopt the next version of the catalog, as aEdit changes
+   * it. */
+  void EditCatalog(const std::function<void(protocol::Catalog&)>& aEdit);
+  /** Returns the leader's reply to a request of an entry. */
+  protocol::WorkloadReply Request(protocol::WorkloadRequestBody aBody);
   std::set<base::ZoneId> EvacuatedZones() const;
   std::string ZoneOf(std::size_t aWorker) const;
   void RunFor(std::int64_t aMs);
@@ -235,7 +240,7 @@
   std::map<protocol::TaskId, std::int64_t> mLastStartAt;
   std::set<protocol::TaskId> mAcknowledgedDone;
   std::map<base::ZoneId, std::int64_t> mEvacuatedAt;
-  std::uint64_t mWaitingCount = 0; ///< from the newest reply
+  protocol::WorkloadReply mReply; ///< the newest
   std::vector<std::string> mViolations;
   bool mIsLateOrder = false; ///< the order being executed is a late copy
 };
