Keep queues with equal names in catalog deltas

Callers of the others would get 404 at each entry after a change of one.

Cause: MakeCatalogDelta compared queues by name and knew one of each, and ApplyCatalogDelta removes all queues with the name of a changed one. Change: the queues of a name are compared and sent as a group. The format is the same.

--- a/dogwooddrum/protocol/Workload.cpp
+++ b/dogwooddrum/protocol/Workload.cpp
@@ -43,6 +43,16 @@
   return {};
 }
 
+std::map<QueueName, std::vector<Queue>>
+GroupByName(const Catalog& aCatalog)
+{
+  std::map<QueueName, std::vector<Queue>> groups;
+  for (const Queue& queue : aCatalog.mQueues) {
+    groups[queue.mName].push_back(queue);
+  }
+  return groups;
+}
+
 } // namespace
 
 std::string
@@ -78,21 +88,19 @@
   delta.mPools = aNew.mPools;
   delta.mAccounts = aNew.mAccounts;
   delta.mLimits = aNew.mLimits;
-  std::map<QueueName, const Queue*> old;
-  for (const Queue& queue : aOld.mQueues) {
-    old.emplace(queue.mName, &queue);
-  }
+  // A name may occur more than once, so that queues are compared by groups.
+  const auto oldGroups = GroupByName(aOld);
+  const auto newGroups = GroupByName(aNew);
   for (const Queue& queue : aNew.mQueues) {
-    const auto it = old.find(queue.mName);
-    if (it == old.end() || !(*it->second == queue)) {
+    const auto it = oldGroups.find(queue.mName);
+    if (it == oldGroups.end() || it->second != newGroups.at(queue.mName)) {
       delta.mQueues.push_back(queue);
     }
-    if (it != old.end()) {
-      old.erase(it);
-    }
   }
-  for (const auto& [name, queue] : old) {
-    delta.mRemovedQueues.push_back(name);
+  for (const auto& [name, group] : oldGroups) {
+    if (newGroups.count(name) == 0) {
+      delta.mRemovedQueues.push_back(name);
+    }
   }
   return delta;
 }
--- a/dogwooddrum/protocol/Workload.h
+++ b/dogwooddrum/protocol/Workload.h
@@ -365,8 +365,8 @@
 {
   CatalogVersion mBaseVersion; ///< 0: the delta is a whole catalog
   CatalogVersion mVersion;
-  std::vector<QueueName> mRemovedQueues;
-  std::vector<Queue> mQueues; ///< new or changed
+  std::vector<QueueName> mRemovedQueues; ///< names that no queue has any more
+  std::vector<Queue> mQueues; ///< all of each name with a new or changed one
   std::vector<Pool> mPools;
   std::vector<CatalogAccount> mAccounts;
   RequestLimits mLimits;
--- a/tests/correctness/CatalogDeltas.cpp
+++ b/tests/correctness/CatalogDeltas.cpp
@@ -55,6 +55,35 @@
   }
 }
 
+// A catalog may give several queues the same name. A delta that changed one of
+// them removed the others at the entries.
+TEST(CatalogDeltas, QueuesWithEqualNamesAreKept)
+{
+  std::mt19937_64 random(1);
+  Catalog held;
+  for (std::uint64_t version = 1; version <= 200; ++version) {
+    Catalog next = RandomCatalog(random, version);
+    for (Queue& queue : next.mQueues) {
+      queue.mName = protocol::QueueName("q" + std::to_string(random() % 4));
+    }
+    if (random() % 2 == 0 && version > 1) {
+      next.mQueues = held.mQueues;
+      next.mQueues.front().mTimeoutMs += 1;
+    }
+    const auto applied =
+      protocol::ApplyCatalogDelta(held, protocol::MakeCatalogDelta(held, next));
+    ASSERT_TRUE(applied);
+    ASSERT_EQ(applied->mQueues.size(), next.mQueues.size());
+    for (const Queue& queue : next.mQueues) {
+      const auto* found =
+        protocol::FindQueue(*applied, queue.mHost, queue.mPathPrefix + "id");
+      ASSERT_NE(found, nullptr);
+      EXPECT_TRUE(*found == queue);
+    }
+    held = *applied;
+  }
+}
+
 TEST(CatalogDeltas, RejectAnotherBaseVersion)
 {
   std::mt19937_64 random(1);
