Quarantine workers at which runs of several workloads fail

Cause, from the leader's log: eight workers failed each run within about 50 ms for 6 s. Such a worker is always the one with free resources, so in a full pool it drew task after task: 222 failed runs on seven workers, and nine of 17 workloads of the class used up the attempts of a task and ended as failed. A suspect worker was only chosen last, which is no protection where no other has room. Ruled out: shares (the class had the most runs), stops for urgent work (they use up no attempt), the workloads (all failed runs were on these workers).

Change: a worker at which runs of two workloads have failed, and none has ended as done since, is quarantined for 8 s from its last failed run: it takes nothing for 2 s, then one task at a time that has not failed yet. At most a quarter of a pool is quarantined; beyond that the work is the likely cause. Guaranteed work that has waited 1.5 s, and a step of which nothing runs beside an idle pool for 2 s, may use such a worker, as the platform's rules ask for a start then. The event target_quarantined names it.

--- a/dogwooddrum/coordination/workloads/Decision.cpp
+++ b/dogwooddrum/coordination/workloads/Decision.cpp
@@ -116,6 +116,10 @@
     aUnit.mIgnoresCrashes = true;
     assignment = PlaceInFreeResources(aUnit, mViews, options);
   }
+  if (!assignment && MayIgnoreQuarantine(aUnit, mViews, options)) {
+    aUnit.mIgnoresQuarantine = true;
+    assignment = PlaceInFreeResources(aUnit, mViews, options);
+  }
   if (!assignment) {
     return false;
   }
--- a/dogwooddrum/coordination/workloads/LeaderContext.h
+++ b/dogwooddrum/coordination/workloads/LeaderContext.h
@@ -23,6 +23,10 @@
  * time that a target takes to stop a run. */
 constexpr base::Duration kOrderRoundTrip = base::Milliseconds(300);
 
+/** Number of workloads whose runs have to fail on a worker for its quarantine;
+ * the failures of one workload may be its own fault. */
+constexpr std::size_t kFailedWorkloadsForQuarantine = 2;
+
 /** A run that may use resources: proposed, or committed and not ended. */
 struct OpenRun
 {
@@ -63,6 +67,10 @@
   std::set<RunId> mPendingEnds;       ///< proposed and not applied
   std::uint32_t mConsecutiveFailures = 0;
   base::Time mLastFailure;
+  /** Workloads of the runs that have failed here since one ended as done; at
+   * most kFailedWorkloadsForQuarantine. */
+  std::set<WorkloadId> mFailedWorkloads;
+  base::Time mLastFailedRun;
   base::Time mStalledAt; ///< when a run here was last found stalled
 };
 
--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -77,6 +77,16 @@
            remaining.mMilliCores };
 }
 
+/** Returns whether quarantine allows the unit on the worker: as a probe, a task
+ * that has not failed yet and thus has attempts left. */
+bool
+IsAllowedByQuarantine(const PlacementUnit& aUnit, const WorkerView& aWorker)
+{
+  return !aWorker.mIsQuarantined || aUnit.mIgnoresQuarantine ||
+         (aWorker.mIsProbeDue && aWorker.mRunCount == 0 &&
+          aUnit.mTasks.size() == 1 && aUnit.mAvoid.empty());
+}
+
 /** What TakeResources changes in a view. */
 struct UsedResources
 {
@@ -130,6 +140,7 @@
     for (std::size_t i = 0; i < aWorkers.size(); ++i) {
       if (!IsEligible(aUnit, aWorkers[i]) || !aIsAllowed(aWorkers[i]) ||
           !Fits(need, FreeFor(aUnit, aWorkers[i])) ||
+          !IsAllowedByQuarantine(aUnit, aWorkers[i]) ||
           !MayShareWorker(aUnit, task, aWorkers[i]) ||
           !IsBelowStepLimit(aUnit, stepTasks, i)) {
         continue;
@@ -238,6 +249,7 @@
   for (WorkerView& worker : aWorkers) {
     worker.mFree = worker.mCapacity;
     worker.mRunCount = 0;
+    worker.mIsQuarantined = false;
     worker.mCrashSuspects.clear();
   }
   return aWorkers;
@@ -461,6 +473,35 @@
          IsPoolIdleFor(unit, aWorkers);
 }
 
+bool
+MayIgnoreQuarantine(const PlacementUnit& aUnit,
+                    const std::vector<WorkerView>& aWorkers,
+                    const PlacementOptions& aOptions)
+{
+  const bool isAnyQuarantined =
+    std::any_of(aWorkers.begin(), aWorkers.end(), [](const auto& aWorker) {
+      return aWorker.mIsQuarantined;
+    });
+  if (!isAnyQuarantined) {
+    return false;
+  }
+  if (aUnit.mGuaranteed &&
+      aUnit.mWaitedMs >= aOptions.mGuaranteedQuarantineWaitMs) {
+    return true;
+  }
+  const bool isStepRunning =
+    std::any_of(aUnit.mStepTasks.begin(),
+                aUnit.mStepTasks.end(),
+                [](std::uint32_t aCount) { return aCount > 0; });
+  if (aUnit.mWaitedMs < aOptions.mIdleQuarantineWaitMs ||
+      (isStepRunning && !aUnit.mStep->mLongRunning)) {
+    return false;
+  }
+  PlacementUnit unit = aUnit;
+  unit.mIgnoresQuarantine = true;
+  return IsPoolIdleFor(unit, aWorkers);
+}
+
 bool
 IsEligible(const PlacementUnit& aUnit, const WorkerView& aWorker)
 {
--- a/dogwooddrum/coordination/workloads/Placement.h
+++ b/dogwooddrum/coordination/workloads/Placement.h
@@ -87,7 +87,11 @@
   ResourceVector
     mReleasing; ///< used by runs that are being stopped or end soon
   bool mUsable = true;
-  bool mSuspect = false;     ///< its newest runs failed or stalled
+  bool mSuspect = false; ///< its newest runs failed or stalled
+  /** Whether runs of several workloads have failed there and none has ended as
+   * done since, so that it takes no work but a probe. */
+  bool mIsQuarantined = false;
+  bool mIsProbeDue = false;  ///< if quarantined: may take one task
   std::size_t mRunCount = 0; ///< open or unexpected runs
   std::vector<CrashSuspect> mCrashSuspects;
   std::vector<Victim> mVictims;
@@ -115,6 +119,9 @@
   /** Whether it has waited too long to be kept apart from suspects of crashes,
    * see MayIgnoreCrashes. */
   bool mIgnoresCrashes = false;
+  /** Whether it has waited too long to be kept from quarantined workers, see
+   * MayIgnoreQuarantine. */
+  bool mIgnoresQuarantine = false;
   /** Whether it is placed on fast workers first; otherwise on slow ones, so
    * that the fast ones are free for work that needs them. See PrefersFast. */
   bool mPrefersFast = false;
@@ -149,6 +156,10 @@
   std::int64_t mIdleCrashWaitMs = 2000;
   /** Longest wait to be kept apart from suspects of crashes. */
   std::int64_t mMaxCrashWaitMs = 20000;
+  /** Longest wait to be kept from quarantined workers, inside a guarantee and
+   * while much of the pool is idle; the platform allows 2900 ms and 3000 ms. */
+  std::int64_t mGuaranteedQuarantineWaitMs = 1500;
+  std::int64_t mIdleQuarantineWaitMs = 2000;
 };
 
 /** A task that has seen this many crashes is run alone, so that it takes no
@@ -175,6 +186,15 @@
                  const std::vector<WorkerView>& aWorkers,
                  const PlacementOptions& aOptions);
 
+/** Returns whether the unit, which has not been placed, may be placed on
+ * quarantined workers: guaranteed work before its start would be late, and any
+ * work while much of the pool is idle, unless other tasks of its step run. The
+ * platform counts a workload of which nothing runs then as lost. */
+bool
+MayIgnoreQuarantine(const PlacementUnit& aUnit,
+                    const std::vector<WorkerView>& aWorkers,
+                    const PlacementOptions& aOptions);
+
 /** Returns whether the worker may run tasks of the unit at all. */
 bool
 IsEligible(const PlacementUnit& aUnit, const WorkerView& aWorker);
--- a/dogwooddrum/coordination/workloads/WorkerViews.cpp
+++ b/dogwooddrum/coordination/workloads/WorkerViews.cpp
@@ -13,6 +13,9 @@
  * missing, and a gang with a member there would be delayed. */
 constexpr base::Duration kMaxListAgeForStarts = base::Milliseconds(1500);
 
+/** At most one in so many workers of a pool is quarantined. */
+constexpr std::size_t kQuarantineDivisor = 4;
+
 /** Returns the core-seconds of work that a stop of the run loses. */
 double
 PreemptionLoss(const LeaderContext& aLeader,
@@ -102,6 +105,34 @@
          isRecent(aWorker.mStalledAt);
 }
 
+/** Returns whether the worker itself is the likely cause of its failed runs. */
+bool
+IsQuarantined(const LeaderContext& aLeader, const Worker& aWorker)
+{
+  const auto& options = aLeader.mOptions;
+  return options.mPolicies.mWorkerSuspicion &&
+         aWorker.mFailedWorkloads.size() >= kFailedWorkloadsForQuarantine &&
+         aLeader.mNow - aWorker.mLastFailedRun < options.mSuspectTime;
+}
+
+/** Ends the quarantine of all workers of a pool if it holds too many of them:
+ * then the work is the likely cause. */
+void
+LimitQuarantine(std::vector<WorkerView>& aViews)
+{
+  std::map<protocol::PoolName, std::pair<std::size_t, std::size_t>> counts;
+  for (const WorkerView& view : aViews) {
+    auto& [quarantined, all] = counts[view.mPool];
+    quarantined += view.mIsQuarantined ? 1 : 0;
+    ++all;
+  }
+  for (WorkerView& view : aViews) {
+    const auto& [quarantined, all] = counts.at(view.mPool);
+    view.mIsQuarantined =
+      view.mIsQuarantined && quarantined <= all / kQuarantineDivisor;
+  }
+}
+
 } // namespace
 
 std::vector<WorkerView>
@@ -127,11 +158,15 @@
                    worker.mSession != Session() &&
                    !IsEvacuated(aLeader, view.mZone) &&
                    aLeader.mNow - worker.mListedAt < kMaxListAgeForStarts;
-    view.mSuspect = IsSuspect(aLeader, worker);
+    view.mIsQuarantined = IsQuarantined(aLeader, worker);
+    view.mSuspect = view.mIsQuarantined || IsSuspect(aLeader, worker);
+    view.mIsProbeDue =
+      aLeader.mNow - worker.mLastFailedRun >= aLeader.mOptions.mProbeAfter;
     view.mSlowness = aLeader.mWorkerSpeeds.SlownessOf(worker.mAgentName);
     index.emplace(incarnation, views.size());
     views.push_back(std::move(view));
   }
+  LimitQuarantine(views);
   for (const auto& [incarnation, worker] : aLeader.mWorkers) {
     WorkerView& view = views[index.at(incarnation)];
     for (const auto& [run, running] : worker.mReportedRuns) {
--- a/dogwooddrum/coordination/workloads/Workers.cpp
+++ b/dogwooddrum/coordination/workloads/Workers.cpp
@@ -323,11 +323,20 @@
 {
   if (aEnd == RunEnd::Done) {
     aWorker.mConsecutiveFailures = 0;
+    aWorker.mFailedWorkloads.clear();
     return;
   }
   if (aEnd != RunEnd::Failed && aEnd != RunEnd::NeverRan) {
     return;
   }
+  if (aWorker.mFailedWorkloads.size() < kFailedWorkloadsForQuarantine &&
+      aWorker.mFailedWorkloads.insert(aRun.mTask.mWorkload).second &&
+      aWorker.mFailedWorkloads.size() == kFailedWorkloadsForQuarantine) {
+    AddEvent(aLeader,
+             WorkloadEvent::Kind::TargetQuarantined,
+             { { "target", aTargetIncarnation.mInstance } });
+  }
+  aWorker.mLastFailedRun = aLeader.mNow;
   auto& failedOn = aLeader.mFailedOn[aRun.mTask];
   // If the task failed elsewhere too, the worker is probably not the cause.
   if (failedOn.empty()) {
--- a/dogwooddrum/coordination/workloads/WorkloadScheduler.h
+++ b/dogwooddrum/coordination/workloads/WorkloadScheduler.h
@@ -44,6 +44,8 @@
   std::uint32_t mSuspectAfter = 2;
   /** Time for which a suspect worker is chosen only if no other fits. */
   base::Duration mSuspectTime = std::chrono::seconds(8);
+  /** Time without a failed run after which a quarantined worker is probed. */
+  base::Duration mProbeAfter = std::chrono::seconds(2);
   /** Most workloads that have not ended. */
   std::size_t mMaxActive = 20000;
   /** Longest time after the acknowledgement of a zone's evacuation in which
@@ -72,6 +74,7 @@
     WorkerLeft,
     WorkerLost,
     WorkerSuspected,
+    TargetQuarantined,
     CatalogAdopted,
     QueueHeadWaited,
     QueueHeadOverdue,
--- a/dogwooddrum/daemon/Notices.cpp
+++ b/dogwooddrum/daemon/Notices.cpp
@@ -110,7 +110,7 @@
     LogEvent mEvent;
     std::optional<Counter> mCounter;
   };
-  static constexpr std::array<EventMapping, 17> kEventMappings{ {
+  static constexpr std::array<EventMapping, 18> kEventMappings{ {
     { Kind::Accepted, LogEvent::WorkloadAccepted, Counter::RequestsAccepted },
     { Kind::Rejected, LogEvent::WorkloadRejected, std::nullopt },
     { Kind::Cancelled, LogEvent::WorkloadCancelled, Counter::JobsCancelled },
@@ -124,6 +124,7 @@
     { Kind::WorkerSuspected,
       LogEvent::WorkerSuspected,
       Counter::WorkersQuarantined },
+    { Kind::TargetQuarantined, LogEvent::TargetQuarantined, std::nullopt },
     { Kind::CatalogAdopted,
       LogEvent::CatalogAdopted,
       Counter::ConfigurationChanges },
--- a/dogwooddrum/service/LogEventTable.cpp
+++ b/dogwooddrum/service/LogEventTable.cpp
@@ -565,6 +565,16 @@
       "The withdrawal of an evacuation is committed. Logged by the leader for "
       "each request, also if the zone was not evacuated.",
       "Nothing." },
+    { LogEvent::TargetQuarantined,
+      LogLevel::Warning,
+      "target_quarantined",
+      "runs of several workloads failed at target {target}",
+      "The target gets one task at a time, as a probe, until a run there ends "
+      "as "
+      "done or none has failed for some seconds.",
+      "Check the target. Nothing if many targets of its pool are named: then "
+      "the "
+      "work is the likely cause, and none is kept from work." },
   };
 }
 
--- a/dogwooddrum/service/LogEvents.h
+++ b/dogwooddrum/service/LogEvents.h
@@ -112,6 +112,7 @@
   TargetCrashed = 617,
   ZoneEvacuated = 618,
   ZoneRestored = 619,
+  TargetQuarantined = 620,
 };
 
 /** Definition of one event. */
--- a/tests/support/WorkloadSimulation.cpp
+++ b/tests/support/WorkloadSimulation.cpp
@@ -147,9 +147,10 @@
 }
 
 void
-WorkloadSimulation::MakeWorkerFail(std::size_t aWorker)
+WorkloadSimulation::MakeWorkerFail(std::size_t aWorker, std::int64_t aAfterMs)
 {
   mWorkers[aWorker]->mFailing = true;
+  mWorkers[aWorker]->mFailsAfterMs = aAfterMs;
 }
 
 void
--- a/tests/support/WorkloadSimulation.h
+++ b/tests/support/WorkloadSimulation.h
@@ -10,6 +10,7 @@
 #include "dogwooddrum/coordination/workloads/WorkloadScheduler.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -97,8 +98,9 @@
   /** Returns the number of targets that crashed when a task of the workload
    * started. */
   int CrashCount(const std::string& aId) const;
-  /** Makes all runs on a worker fail. */
-  void MakeWorkerFail(std::size_t aWorker);
+  /** Makes all later runs on a worker fail, when they would be done or, if that
+   * is earlier, after aAfterMs. */
+  void MakeWorkerFail(std::size_t aWorker, std::int64_t aAfterMs = kNever);
   void DisconnectAgent(std::size_t aWorker, std::int64_t aForMs);
   void RestartTarget(std::size_t aWorker);
   /** Restarts a target that answers no call for aDownMs and announces itself
@@ -166,6 +168,9 @@
   const std::vector<std::string>& Violations() const { return mViolations; }
 
 private:
+  static constexpr std::int64_t kNever =
+    std::numeric_limits<std::int64_t>::max();
+
   struct Target;
   struct RunningTask;
   struct Worker;
--- a/tests/support/WorkloadSimulationState.h
+++ b/tests/support/WorkloadSimulationState.h
@@ -78,6 +78,7 @@
   std::int64_t mDisconnectedUntil = 0;
   std::int64_t mBusyUntil = 0; ///< waits for the answer to an order
   bool mFailing = false;
+  std::int64_t mFailsAfterMs = 0; ///< if failing, at the latest
   std::int64_t mVmGoneAt = std::numeric_limits<std::int64_t>::max();
   std::int64_t mStalledUntil = 0;
   double mSlowness = 1;
--- a/tests/support/WorkloadSimulationTargets.cpp
+++ b/tests/support/WorkloadSimulationTargets.cpp
@@ -119,6 +119,10 @@
   const bool fails = mFailing.count(id) > 0 || mWorkers[aWorker]->mFailing ||
                      HappensWith(mOptions.mFaults.mFailingRuns);
   running.mEnd = fails ? RunEnd::Failed : RunEnd::Done;
+  if (mWorkers[aWorker]->mFailing) {
+    running.mEndsAt = mNowMs + std::min(running.mEndsAt - mNowMs,
+                                        mWorkers[aWorker]->mFailsAfterMs);
+  }
   target.mRuns[run.mTask] = running;
   ++mStarts[id];
   mFirstStartedAt.emplace(id, mNowMs);
