Accept no workload of a removed queue for another one of its name

Cause: a submission is committed with the key of its queue. If a catalog that removes the queue and gives its name to another one is committed first, the key was taken for a name, as in logs of the version before, and the workload reached the other queue. Test: QueueKeys.WorkloadOfARemovedQueueReachesNoOtherOfItsName failed before.

--- a/dogwooddrum/coordination/workloads/State.cpp
+++ b/dogwooddrum/coordination/workloads/State.cpp
@@ -199,13 +199,18 @@
   }
 
   /** Returns the queue of the catalog that an Accept names by its key or, in an
-   * entry of a version without keys, by its name. */
+   * entry of a version without keys, by its name. A removed queue's key may be
+   * the name of another one. */
   std::optional<QueueKey> AcceptingQueue(
     const protocol::QueueReference& aReference) const
   {
     const QueueKey key(aReference.mName.Value());
-    return mState.mQueues.IsInCatalog(key) ? key
-                                           : mState.ResolveQueue(aReference);
+    if (mState.mQueues.IsInCatalog(key)) {
+      return key;
+    }
+    return mState.mQueues.Retired().count(key) > 0
+             ? std::nullopt
+             : mState.ResolveQueue(aReference);
   }
 
   void operator()(const Accept& aChange)
--- a/tests/correctness/QueueIdentity.cpp
+++ b/tests/correctness/QueueIdentity.cpp
@@ -334,6 +334,24 @@
   EXPECT_EQ(state.Find(WorkloadId("a")), nullptr);
 }
 
+// The key of a queue that is removed before a workload is committed may be the
+// name of another queue then.
+TEST(QueueKeys, WorkloadOfARemovedQueueReachesNoOtherOfItsName)
+{
+  State state;
+  Catalog catalog = OneQueueCatalog(1, "a");
+  catalog.mQueues.push_back(catalog.mQueues.front());
+  catalog.mQueues.back().mName = QueueName("b");
+  catalog.mQueues.back().mPathPrefix = "/b/";
+  state.Apply(Change{ AdoptCatalog{ catalog } });
+  catalog.mVersion = protocol::CatalogVersion(2);
+  catalog.mQueues.erase(catalog.mQueues.begin());
+  catalog.mQueues.front().mName = QueueName("a");
+  state.Apply(Change{ AdoptCatalog{ catalog } });
+  state.Apply(Change{ AcceptByName("w", "a") });
+  EXPECT_EQ(state.Find(WorkloadId("w")), nullptr);
+}
+
 // Random catalogs, in which names and addresses are exchanged and reused: an
 // address that stays in the catalog keeps its queue, one that was removed gets
 // it back while it has workloads, and no queue is ever at two addresses.
