Probe a quarantined worker only with work that is not urgent

Cause: a probe that fails uses up an attempt, of which urgent work may have only two, and delays it. Any task that had not failed yet could be one. Change: tasks of priority 0 are no probes. Guaranteed work may still use such a worker after 1.5 s. Test: FailingWorkers.UrgentWorkIsNoProbe failed before (1 start within 1 s).

--- a/dogwooddrum/coordination/workloads/Placement.cpp
+++ b/dogwooddrum/coordination/workloads/Placement.cpp
@@ -78,13 +78,14 @@
 }
 
 /** Returns whether quarantine allows the unit on the worker: as a probe, a task
- * that has not failed yet and thus has attempts left. */
+ * that is not urgent and has not failed yet, so that it has attempts left. */
 bool
 IsAllowedByQuarantine(const PlacementUnit& aUnit, const WorkerView& aWorker)
 {
   return !aWorker.mIsQuarantined || aUnit.mIgnoresQuarantine ||
          (aWorker.mIsProbeDue && aWorker.mRunCount == 0 &&
-          aUnit.mTasks.size() == 1 && aUnit.mAvoid.empty());
+          aUnit.mPriority > 0 && aUnit.mTasks.size() == 1 &&
+          aUnit.mAvoid.empty());
 }
 
 /** What TakeResources changes in a view. */
--- a/tests/error/FailingWorkers.cpp
+++ b/tests/error/FailingWorkers.cpp
@@ -71,6 +71,27 @@
   EXPECT_GT(sim.StartCount("gang"), 0);
 }
 
+// A failed probe uses up an attempt, and delays the task.
+TEST(FailingWorkers, UrgentWorkIsNoProbe)
+{
+  WorkloadSimulation sim(EightWorkers());
+  sim.MakeWorkerFail(0, 50);
+  sim.RunFor(500);
+  for (const char* id : { "a", "b" }) {
+    sim.SetRunTime(id, 200);
+    sim.Submit(id, "p2", OneStepSpec(64, 1000, 1, false));
+    sim.RunFor(1000);
+  }
+  sim.SetRunTime("full", 20000);
+  sim.Submit("full", "p0", OneStepSpec(7, 1000, 8, false));
+  sim.RunFor(2500);
+  sim.Submit("urgent", "p0", OneStepSpec(1, 1000, 1, false));
+  sim.RunFor(1000);
+  EXPECT_EQ(sim.StartCount("urgent"), 0) << "only a quarantined worker is free";
+  sim.RunFor(1500);
+  EXPECT_GT(sim.StartCount("urgent"), 0);
+}
+
 // A workload that fails everywhere is no evidence against the workers.
 TEST(FailingWorkers, FailingWorkloadDoesNotQuarantineThePool)
 {
